Add the design page, the build skeleton and the core types

Cause: an empty repository; every later part needs the design, the build, the checks and the types that cross module borders. Ruled out: -Wshadow, because g++ then rejects constructor parameters named after the member they initialise, which the naming rule asks for; the linter check of template parameter case, which reports a system header without a location.

--- /dev/null
+++ b/galenarack/document/accounttable.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Galenarack {
+
+/// One caller account of the document.
+struct AccountRow
+{
+    std::string name;
+    std::string section;
+    std::uint32_t maxInFlight = 0; ///< Requests in flight at one ingress; 0 means no limit.
+    double ratePerSecond = 0.0; ///< Requests a second at one ingress; 0 means no limit.
+};
+
+/// Accounts with lookup by name.
+class AccountTable
+{
+public:
+    AccountTable() = default;
+    explicit AccountTable(std::vector<AccountRow> rows);
+
+    /// @return the account, or null
+    const AccountRow *find(std::string_view name) const;
+
+    /// @return all accounts in document order
+    const std::vector<AccountRow> &all() const
+    {
+        return this->rows;
+    }
+
+private:
+    std::vector<AccountRow> rows;
+    std::map<std::string, std::uint32_t, std::less<>> byName;
+};
+
+} // namespace Galenarack
--- /dev/null
+++ b/testrunner/main.cpp
@@ -0,0 +1,61 @@
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <algorithm>
+#include <cctype>
+#include <iostream>
+#include <string>
+
+namespace {
+
+/// Lower-case copy: ctest names a suite by its file, which is the class name in lower case.
+std::string toLower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return text;
+}
+
+/// Runs the suites whose lower-case name is `wanted`, or all when it is empty.
+/// @return the number of suites run
+int addMatchingSuites(CppUnit::Test &root, const std::string &wanted, CppUnit::TestRunner &runner)
+{
+    int added = 0;
+    for (int i = 0; i < root.getChildTestCount(); ++i) {
+        CppUnit::Test *suite = root.getChildTestAt(i);
+        if (wanted.empty() || toLower(suite->getName()) == wanted) {
+            runner.addTest(suite);
+            ++added;
+        }
+    }
+    return added;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CppUnit::TestResult controller;
+    CppUnit::TestResultCollector collector;
+    CppUnit::BriefTestProgressListener progress;
+    controller.addListener(&collector);
+    controller.addListener(&progress);
+
+    // The suites are owned by the runner; the root is leaked on purpose because it shares them.
+    CppUnit::Test *root = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+    CppUnit::TestRunner runner;
+    const std::string wanted = argc > 1 ? toLower(argv[1]) : std::string();
+    if (addMatchingSuites(*root, wanted, runner) == 0) {
+        std::cerr << "no test suite is named " << wanted << '\n';
+        return 2;
+    }
+    runner.run(controller);
+    CppUnit::CompilerOutputter outputter(&collector, std::cerr);
+    outputter.write();
+    return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
+}
