--- /dev/null
+++ b/galenarack/ingress/ingressserver.cpp
@@ -0,0 +1,265 @@
+#include <galenarack/ingress/ingressserver.h>
+
+#include <galenarack/core/errorkind.h>
+#include <galenarack/core/scopeguard.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/url/parse.hpp>
+
+#include <algorithm>
+
+namespace Galenarack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view controlPrefix = "/.galenarack/";
+constexpr std::string_view keysPath = "/.galenarack/keys";
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+std::string toLower(std::string_view text)
+{
+    std::string lower(text);
+    std::ranges::transform(lower, lower.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return lower;
+}
+
+ErrorKind kindOfReadError(const beast::error_code &error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return ErrorKind::HeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return ErrorKind::BodyTooLarge;
+    }
+    if (error == http::error::bad_content_length || error == http::error::multiple_content_length
+        || error == http::error::bad_transfer_encoding) {
+        return ErrorKind::AmbiguousLength;
+    }
+    return ErrorKind::InvalidRequest;
+}
+
+/// @return whether the caller can still read a response after this error
+bool isProtocolError(const beast::error_code &error)
+{
+    return error != http::error::end_of_stream && error != http::error::partial_message && error != beast::error::timeout
+           && error.category() == beast::error_code(http::error::end_of_stream).category();
+}
+
+CallerRequest toCallerRequest(http::request<http::string_body> message)
+{
+    CallerRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.add(toLower(field.name_string()), field.value());
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// @return the value of a query parameter, decoded; empty when it is absent
+std::string queryParameter(std::string_view target, std::string_view name)
+{
+    const auto url = boost::urls::parse_origin_form(target);
+    if (!url) {
+        return {};
+    }
+    const auto parameters = url->params();
+    const auto entry = parameters.find(name);
+    return entry == parameters.end() ? std::string() : std::string((*entry).value);
+}
+
+} // namespace
+
+/// One connection of a caller.
+struct IngressServer::Connection
+{
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool idle = false; ///< Between two requests.
+};
+
+IngressServer::IngressServer(asio::any_io_executor executor, IngressLimits limits, RequestForwarder &forwarder)
+    : executor(executor)
+    , limits(limits)
+    , forwarder(forwarder)
+    , acceptor(executor)
+    , log("ingress")
+{
+}
+
+absl::Status IngressServer::listen(const asio::ip::tcp::endpoint &address)
+{
+    boost::system::error_code error;
+    this->acceptor.open(address.protocol(), error);
+    if (!error) {
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        this->acceptor.bind(address, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::SettingInvalid, "caller_address cannot be bound: " + error.message());
+    }
+    asio::co_spawn(
+        this->executor,
+        [this]() -> asio::awaitable<void> {
+            co_await this->acceptLoop();
+        },
+        asio::detached);
+    return absl::OkStatus();
+}
+
+void IngressServer::drain()
+{
+    this->draining = true;
+}
+
+void IngressServer::stop()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (Connection *connection : this->open) {
+        if (connection->idle) {
+            connection->stream.close();
+        }
+    }
+}
+
+asio::awaitable<void> IngressServer::acceptLoop()
+{
+    asio::steady_timer timer(this->executor);
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(awaitTuple);
+        if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            timer.expires_after(acceptRetryDelay);
+            co_await timer.async_wait(awaitTuple);
+            continue;
+        }
+        asio::co_spawn(
+            this->executor,
+            [this, accepted = std::move(socket)]() mutable -> asio::awaitable<void> {
+                co_await this->serve(std::move(accepted));
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> IngressServer::serve(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    Connection connection{beast::tcp_stream(std::move(socket)), beast::flat_buffer(this->limits.headerBytes + this->limits.bodyBytes)};
+    if (this->connections >= this->limits.connections) {
+        co_await this->writeResponse(connection, problemResponse(ErrorKind::ConnectionLimit, "", ""), false, false);
+        co_return;
+    }
+    ++this->connections;
+    const auto position = this->open.insert(this->open.end(), &connection);
+    const ScopeGuard closed([this, position] {
+        --this->connections;
+        this->open.erase(position);
+    });
+    while (co_await this->serveRequest(connection)) { }
+    connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool> IngressServer::serveRequest(Connection &connection)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+    parser.body_limit(this->limits.bodyBytes);
+
+    connection.idle = true;
+    connection.stream.expires_after(this->limits.idleTimeout);
+    const auto [headerError, headerLength] = co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitTuple);
+    connection.idle = false;
+    beast::error_code error = headerError;
+    if (!error) {
+        connection.stream.expires_after(this->limits.transferTimeout);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            const http::response<http::empty_body> interim(http::status::continue_, parser.get().version());
+            co_await http::async_write(connection.stream, interim, awaitTuple);
+        }
+        const auto [bodyError, bodyLength] = co_await http::async_read(connection.stream, connection.buffer, parser, awaitTuple);
+        error = bodyError;
+    }
+    if (error) {
+        if (isProtocolError(error)) {
+            const ErrorKind kind = kindOfReadError(error);
+            this->log.warn("request refused", {{"error_kind", errorRow(kind).name}, {"detail", error.message()}});
+            co_await this->writeResponse(connection, problemResponse(kind, error.message(), ""), false, false);
+        }
+        co_return false;
+    }
+    const bool keepAlive = parser.keep_alive();
+    const bool isHead = parser.get().method() == http::verb::head;
+    PeerResponse response = co_await this->answer(connection, toCallerRequest(parser.release()));
+    co_return co_await this->writeResponse(connection, std::move(response), keepAlive, isHead);
+}
+
+asio::awaitable<PeerResponse> IngressServer::answer(Connection &connection, CallerRequest request)
+{
+    if (request.target.starts_with(controlPrefix)) {
+        if (request.method == "POST" && (request.target == keysPath || request.target.starts_with(std::string(keysPath) + "?"))) {
+            co_return co_await this->forwarder.issueKey(queryParameter(request.target, "method"), queryParameter(request.target, "path"));
+        }
+        co_return problemResponse(ErrorKind::RouteNotFound, "the path is reserved", "");
+    }
+    // A caller that goes away cancels its request, so that repeatable work does not hold a slot for nobody.
+    const auto cancellation = std::make_shared<Cancellation>();
+    const auto finished = std::make_shared<bool>(false);
+    connection.stream.expires_never();
+    asio::ip::tcp::socket &socket = connection.stream.socket();
+    socket.async_wait(asio::ip::tcp::socket::wait_read, [cancellation, finished, &socket](boost::system::error_code waitError) {
+        if (waitError || *finished) {
+            return;
+        }
+        char byte = 0;
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        if (error && error != asio::error::would_block) {
+            cancellation->request();
+        }
+    });
+    PeerResponse response = co_await this->forwarder.forward(std::move(request), cancellation);
+    *finished = true;
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+    co_return response;
+}
+
+asio::awaitable<bool> IngressServer::writeResponse(Connection &connection, PeerResponse response, bool keepAlive, bool isHead)
+{
+    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+    for (const HeaderField &field : response.headers.all()) {
+        message.insert(field.name, field.value);
+    }
+    message.body() = std::move(response.body);
+    message.keep_alive(keepAlive && !this->draining);
+    message.prepare_payload();
+    if (isHead) {
+        message.body().clear();
+    }
+    connection.stream.expires_after(this->limits.transferTimeout);
+    const auto [error, length] = co_await http::async_write(connection.stream, message, awaitTuple);
+    co_return !error && message.keep_alive();
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -0,0 +1,421 @@
+#include <galenarack/ingress/requestforwarder.h>
+
+#include <galenarack/core/errorkind.h>
+#include <galenarack/core/scopeguard.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace Galenarack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view timeoutField = "galenarack-timeout-ms";
+constexpr std::string_view executionField = "galenarack-execution";
+constexpr std::string_view keyField = "idempotency-key";
+
+/// Account of callers that name none.
+constexpr std::string_view anonymousAccount = "anonymous";
+
+/// The home answers a time-out itself at the deadline; its answer says more than silence, so the ingress waits this much longer.
+constexpr Duration homeTimeoutGrace = std::chrono::milliseconds(50);
+
+/// Attempts before the last one are refused at once when no slot is free, so that another upstream can take the request;
+/// a refusal costs one round trip, a wait in a queue the rest of someone else's work.
+constexpr unsigned attemptThatQueues = 3;
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+bool mayRetryAfter(unsigned status)
+{
+    return status == 429 || status == 503;
+}
+
+} // namespace
+
+PeerResponse problemResponse(ErrorKind kind, std::string_view detail, std::string_view requestId)
+{
+    const ErrorRow &row = errorRow(kind);
+    PeerResponse response;
+    response.status = row.httpStatus;
+    response.headers.add("content-type", "application/problem+json");
+    response.headers.add(PeerHeader::error, row.name);
+    response.headers.add(executionField, executionName(row.execution));
+    if (mayRetryAfter(row.httpStatus)) {
+        response.headers.add("retry-after", "1");
+    }
+    response.body = problemBody(kind, detail.empty() ? row.title : detail, requestId);
+    return response;
+}
+
+RequestForwarder::RequestForwarder(asio::any_io_executor executor,
+                                   NodeIdentity identity,
+                                   std::function<std::shared_ptr<const Document>()> document,
+                                   HomeNode &home,
+                                   PeerClient &peers,
+                                   std::mt19937_64 random)
+    : executor(std::move(executor))
+    , identity(std::move(identity))
+    , document(std::move(document))
+    , home(home)
+    , peers(peers)
+    , random(random)
+    , mint(this->random())
+    , log("ingress")
+{
+}
+
+asio::awaitable<PeerResponse> RequestForwarder::forward(CallerRequest request, std::shared_ptr<Cancellation> cancellation)
+{
+    ++this->inProgress;
+    const ScopeGuard finished([this] {
+        --this->inProgress;
+    });
+    Course course;
+    course.request = std::move(request);
+    course.cancellation = std::move(cancellation);
+    course.received = NodeClock::now();
+    course.document = this->document();
+    course.id = RequestId{this->identity.incarnation, ++this->sequence};
+    if (const absl::Status status = this->prepare(course); !status.ok()) {
+        co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
+    }
+    co_return co_await this->run(course);
+}
+
+absl::Status RequestForwarder::prepare(Course &course) const
+{
+    if (!course.document) {
+        return makeError(ErrorKind::NotReady, "no document is in force yet");
+    }
+    const std::string_view path = pathOf(course.request.target);
+    course.route = course.document->routes.find(path);
+    if (course.route == nullptr) {
+        return makeError(ErrorKind::RouteNotFound, "no route matches " + std::string(path));
+    }
+    if (!course.route->allows(course.request.method)) {
+        return makeError(ErrorKind::MethodNotAllowed, "route " + course.route->prefix + " does not allow " + course.request.method);
+    }
+    course.account = course.request.headers.find(PeerHeader::account).value_or(anonymousAccount);
+    if (!course.document->accounts.all().empty() && course.document->accounts.find(course.account) == nullptr) {
+        return makeError(ErrorKind::AccountUnknown, "account " + course.account + " is not in the document");
+    }
+    Duration allowed = course.route->deadline;
+    if (const auto timeout = course.request.headers.findNumber(timeoutField)) {
+        allowed = std::min<Duration>(allowed, std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1)));
+    }
+    course.deadline = course.received + allowed;
+    course.repeatable = course.route->isRepeatable(course.request.method);
+    if (course.repeatable) {
+        return absl::OkStatus();
+    }
+    course.fingerprint = RequestFingerprint::of(course.request.method, course.request.target, course.request.body);
+    if (const auto text = course.request.headers.find(keyField)) {
+        course.key = IdempotencyKey::parse(*text);
+        if (!course.key) {
+            return makeError(ErrorKind::KeyNotIssued, "");
+        }
+    }
+    return absl::OkStatus();
+}
+
+asio::awaitable<PeerResponse> RequestForwarder::run(Course &course)
+{
+    const WorkKind kind = course.repeatable ? WorkKind::Repeatable : course.key ? WorkKind::Keyed : WorkKind::NonRepeatable;
+    AttemptMachine machine(kind, this->budgetOf(course));
+    AttemptAction::Any action = machine.on(AttemptEvent::Started());
+    for (;;) {
+        if (std::holds_alternative<AttemptAction::Answer>(action)) {
+            PeerResponse response = std::move(*course.response);
+            response.headers.add(PeerHeader::requestId, course.id.toString());
+            co_return response;
+        }
+        if (const auto *fail = std::get_if<AttemptAction::Fail>(&action)) {
+            co_return this->failure(course, fail->kind);
+        }
+        if (course.cancellation->isRequested()) {
+            action = machine.on(AttemptEvent::Cancelled());
+        } else if (NodeClock::now() >= course.deadline) {
+            action = machine.on(AttemptEvent::DeadlineReached());
+        } else if (const auto *send = std::get_if<AttemptAction::Send>(&action)) {
+            action = machine.on(co_await this->attempt(course, send->attempt));
+        } else if (const auto *query = std::get_if<AttemptAction::QueryOutcome>(&action)) {
+            asio::steady_timer delay(this->executor, query->delay);
+            co_await delay.async_wait(asio::as_tuple(asio::use_awaitable));
+            action = machine.on(co_await this->queryOutcome(course, query->throughThirdNode));
+        } else {
+            co_return this->failure(course, ErrorKind::Internal);
+        }
+    }
+}
+
+asio::awaitable<AttemptEvent::Any> RequestForwarder::attempt(Course &course, unsigned number)
+{
+    const auto upstream = this->chooseUpstream(course);
+    if (!upstream) {
+        course.detail = "no upstream of service " + course.document->services[course.route->service].name + " can be reached";
+        co_return AttemptEvent::NotSent{ErrorKind::NoUpstream};
+    }
+    course.upstream = *upstream;
+    course.tried.insert(*upstream);
+    const std::string vm = course.document->upstreams[*upstream].vm;
+    // A new id for each attempt, since a home decides once about an id.
+    course.id = RequestId{this->identity.incarnation, ++this->sequence};
+    auto response = co_await this->send(
+        vm,
+        [this, &course, number](const PeerView &view) {
+            return this->makeAttempt(course, number, view);
+        },
+        course);
+    co_return this->interpretAttempt(course, std::move(response));
+}
+
+PeerRequest RequestForwarder::makeAttempt(Course &course, unsigned number, const PeerView &view)
+{
+    const TimePoint now = NodeClock::now();
+    const auto toHomeClock = [&view, now](TimePoint time) {
+        return view.estimateClockMs(now) - std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+    };
+    course.addressedTo = view.incarnation;
+    course.receivedMs = toHomeClock(course.received);
+    course.expiryMs = toHomeClock(course.deadline);
+
+    PeerRequest request;
+    request.method = course.request.method;
+    request.path = course.request.target;
+    request.body = course.request.body;
+    request.headers.add(PeerHeader::kind, "forward");
+    for (const HeaderField &field : course.request.headers.all()) {
+        if (!field.name.starts_with(PeerHeader::prefix) && (course.repeatable || field.name != keyField)) {
+            request.headers.add(field.name, field.value);
+        }
+    }
+    ForwardMeta meta = this->makeMeta(course);
+    meta.mayQueue = number >= attemptThatQueues || course.key.has_value();
+    meta.appendTo(request.headers);
+    return request;
+}
+
+ForwardMeta RequestForwarder::makeMeta(const Course &course) const
+{
+    ForwardMeta meta;
+    meta.id = course.id;
+    meta.addressedTo = course.addressedTo;
+    meta.receivedMs = course.receivedMs;
+    meta.expiryMs = course.expiryMs;
+    meta.account = course.account;
+    meta.upstream = course.document->upstreams[course.upstream].name;
+    meta.revision = course.document->revision;
+    meta.repeatable = course.repeatable;
+    meta.key = course.key;
+    meta.fingerprint = course.fingerprint;
+    return meta;
+}
+
+AttemptEvent::Any RequestForwarder::interpretAttempt(Course &course, absl::StatusOr<PeerResponse> response) const
+{
+    if (!response.ok()) {
+        course.detail = messageOf(response.status());
+        const ErrorKind kind = errorKindOf(response.status());
+        switch (kind) {
+        case ErrorKind::PeerLost:
+            return AttemptEvent::ConnectionLost();
+        case ErrorKind::Timeout:
+            return AttemptEvent::DeadlineReached();
+        case ErrorKind::Cancelled:
+            return AttemptEvent::Cancelled();
+        case ErrorKind::UpstreamAnswerTooLarge:
+            return AttemptEvent::BadResponse{kind};
+        default:
+            return AttemptEvent::NotSent{kind};
+        }
+    }
+    if (const auto name = response->headers.find(PeerHeader::error)) {
+        course.detail = response->body;
+        return AttemptEvent::Refused{errorKindFromName(*name).value_or(ErrorKind::Internal)};
+    }
+    course.response = std::move(*response);
+    return AttemptEvent::Response();
+}
+
+asio::awaitable<AttemptEvent::Any> RequestForwarder::queryOutcome(Course &course, bool throughThirdNode)
+{
+    const std::string vm = course.document->upstreams[course.upstream].vm;
+    std::string receiver = vm;
+    PeerRequest request;
+    request.method = "GET";
+    request.path = std::string(PeerPath::outcome) + course.id.toString();
+    if (throughThirdNode) {
+        const auto third = this->chooseThirdNode(course);
+        if (!third) {
+            co_return AttemptEvent::OutcomeUnreachable();
+        }
+        receiver = *third;
+        request.path = std::string(PeerPath::relay) + vm;
+    }
+    this->makeMeta(course).appendTo(request.headers);
+    auto response = co_await this->send(
+        receiver,
+        [&request](const PeerView &) {
+            return request;
+        },
+        course);
+    if (!response.ok()) {
+        const bool timedOut = errorKindOf(response.status()) == ErrorKind::Timeout;
+        co_return timedOut ? AttemptEvent::Any(AttemptEvent::DeadlineReached()) : AttemptEvent::Any(AttemptEvent::OutcomeUnreachable());
+    }
+    if (const auto name = response->headers.find(PeerHeader::error)) {
+        const ErrorKind kind = errorKindFromName(*name).value_or(ErrorKind::OutcomeUnknown);
+        // A third node that can't reach the home either says so; that is no statement of the home.
+        if (kind == ErrorKind::PeerUnreachable || kind == ErrorKind::PeerLost) {
+            co_return AttemptEvent::OutcomeUnreachable();
+        }
+        co_return AttemptEvent::OutcomeReply{kind};
+    }
+    course.response = std::move(*response);
+    co_return AttemptEvent::Response();
+}
+
+asio::awaitable<absl::StatusOr<PeerResponse>> RequestForwarder::send(const std::string &vm,
+                                                                     std::function<PeerRequest(const PeerView &)> makeRequest,
+                                                                     const Course &course)
+{
+    if (vm == this->identity.vm) {
+        co_return co_await this->sendToSelf(makeRequest(this->selfView()), course);
+    }
+    auto reply = co_await this->peers.request(vm, std::move(makeRequest), course.deadline + homeTimeoutGrace, course.cancellation);
+    if (!reply.ok()) {
+        co_return reply.status();
+    }
+    co_return std::move(reply->response);
+}
+
+asio::awaitable<absl::StatusOr<PeerResponse>> RequestForwarder::sendToSelf(PeerRequest request, const Course &course)
+{
+    const auto call = std::make_shared<PeerCall>();
+    call->request = std::move(request);
+    course.cancellation->setAction([call] {
+        call->cancellation.request();
+    });
+    const bool isOutcome = call->request.path.starts_with(PeerPath::outcome);
+    PeerResponse response;
+    if (isOutcome) {
+        response = co_await this->home.outcome(call);
+    } else {
+        response = co_await this->home.forward(call);
+    }
+    course.cancellation->setAction(nullptr);
+    co_return response;
+}
+
+PeerView RequestForwarder::selfView() const
+{
+    const TimePoint now = NodeClock::now();
+    return PeerView{this->identity.incarnation, 0, false, toMilliseconds(now), now};
+}
+
+std::optional<std::uint32_t> RequestForwarder::chooseUpstream(const Course &course)
+{
+    const Document &document = *course.document;
+    std::vector<std::uint32_t> candidates = document.upstreamsOfService(course.route->service);
+    std::erase_if(candidates, [&](std::uint32_t index) {
+        const bool elsewhere = course.key && document.upstreams[index].vm != course.key->vm;
+        return elsewhere || document.upstreams[index].rule == UpstreamRule::Retire || course.tried.contains(index);
+    });
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+    return candidates[pick(this->random)];
+}
+
+std::optional<std::string> RequestForwarder::chooseThirdNode(const Course &course)
+{
+    const std::string &homeVm = course.document->upstreams[course.upstream].vm;
+    std::set<std::string> vms;
+    for (const UpstreamRow &upstream : course.document->upstreams) {
+        if (upstream.vm != homeVm && upstream.vm != this->identity.vm && this->peers.view(upstream.vm) != nullptr) {
+            vms.insert(upstream.vm);
+        }
+    }
+    if (vms.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, vms.size() - 1);
+    return *std::next(vms.begin(), static_cast<std::ptrdiff_t>(pick(this->random)));
+}
+
+RetryBudget &RequestForwarder::budgetOf(const Course &course)
+{
+    return this->budgets[course.document->services[course.route->service].name];
+}
+
+PeerResponse RequestForwarder::failure(const Course &course, ErrorKind kind) const
+{
+    this->log.warn("request failed",
+                   {{"request_id", course.id.toString()}, {"error_kind", errorRow(kind).name}, {"detail", course.detail}});
+    return problemResponse(kind, course.detail, course.id.toString());
+}
+
+asio::awaitable<PeerResponse> RequestForwarder::issueKey(std::string method, std::string path)
+{
+    Course course;
+    course.request.method = std::move(method);
+    course.request.target = std::move(path);
+    course.received = NodeClock::now();
+    course.document = this->document();
+    course.id = RequestId{this->identity.incarnation, ++this->sequence};
+    const absl::Status status = this->prepare(course);
+    if (!status.ok()) {
+        co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
+    }
+    while (const auto upstream = this->chooseUpstream(course)) {
+        course.tried.insert(*upstream);
+        const std::string vm = course.document->upstreams[*upstream].vm;
+        absl::StatusOr<PeerView> view = this->selfView();
+        if (vm != this->identity.vm) {
+            view = co_await this->peers.connect(vm, course.deadline);
+        }
+        if (!view.ok() || view->leaving) {
+            continue;
+        }
+        const TimePoint homeClock = fromMilliseconds(view->estimateClockMs(NodeClock::now()));
+        PeerResponse response;
+        response.headers.add("content-type", "application/json");
+        response.body = nlohmann::json{{"key", this->mint.mint(vm, view->incarnation, homeClock).toString()}}.dump() + "\n";
+        co_return response;
+    }
+    co_return problemResponse(ErrorKind::NoUpstream, "no home of the service can be reached", course.id.toString());
+}
+
+asio::awaitable<PeerResponse> RequestForwarder::relayOutcome(std::shared_ptr<PeerCall> call)
+{
+    const std::string vm = call->request.path.substr(PeerPath::relay.size());
+    const auto id = call->request.headers.find(PeerHeader::requestId).value_or("");
+    call->request.path = std::string(PeerPath::outcome) + std::string(id);
+    if (vm == this->identity.vm) {
+        co_return co_await this->home.outcome(call);
+    }
+    constexpr Duration relayTimeout = std::chrono::seconds(10);
+    auto reply = co_await this->peers.request(
+        vm,
+        [call](const PeerView &) {
+            return call->request;
+        },
+        NodeClock::now() + relayTimeout);
+    if (!reply.ok()) {
+        co_return problemResponse(ErrorKind::PeerUnreachable, messageOf(reply.status()), id);
+    }
+    co_return std::move(reply->response);
+}
+
+} // namespace Galenarack
--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -120,7 +120,8 @@
 
 asio::awaitable<absl::StatusOr<PeerReply>> PeerClient::request(const std::string &vm,
                                                                std::function<PeerRequest(const PeerView &)> makeRequest,
-                                                               TimePoint deadline)
+                                                               TimePoint deadline,
+                                                               std::shared_ptr<Cancellation> cancellation)
 {
     const auto view = co_await this->connect(vm, deadline);
     if (!view.ok()) {
--- a/galenarack/peer/peerclient.h
+++ b/galenarack/peer/peerclient.h
@@ -64,9 +64,11 @@
     /// Sends one request over the kept connection, which is opened when needed.
     /// @param makeRequest builds the request from the view of the node, after the connection stands
     /// @return as PeerSession::request(); PeerUnreachable when no connection could be had
+    /// @param cancellation may be null
     boost::asio::awaitable<absl::StatusOr<PeerReply>> request(const std::string &vm,
                                                               std::function<PeerRequest(const PeerView &)> makeRequest,
-                                                              TimePoint deadline);
+                                                              TimePoint deadline,
+                                                              std::shared_ptr<Cancellation> cancellation = nullptr);
 
     /// Takes a clock value that came with a response.
     void updateClock(const std::string &vm, std::int64_t clockMs, TimePoint now);
