Let the ingress state at the deadline that nothing was sent

Cause: a request whose deadline passes while the driver still connects was reported as may have run. Change: DeadlineReached states whether a byte of the attempt may have been sent; work without a key is then reported as not run. Ruled out: the same for keyed work, since an earlier request with the key may have run.

--- a/galenarack/execution/attemptmachine.cpp
+++ b/galenarack/execution/attemptmachine.cpp
@@ -123,9 +123,9 @@
     return this->query();
 }
 
-AttemptAction::Any AttemptMachine::onEvent(AttemptEvent::DeadlineReached /*event*/)
+AttemptAction::Any AttemptMachine::onEvent(AttemptEvent::DeadlineReached event)
 {
-    const bool definite = this->state == State::Idle && this->work != WorkKind::Keyed;
+    const bool definite = this->work != WorkKind::Keyed && (this->state == State::Idle || (this->state == State::Sending && !event.sent));
     return this->fail(definite ? ErrorKind::DeadlinePassed : ErrorKind::Timeout);
 }
 
--- a/galenarack/execution/attemptmachine.h
+++ b/galenarack/execution/attemptmachine.h
@@ -62,6 +62,7 @@
 /// The deadline of the caller's request passed.
 struct DeadlineReached
 {
+    bool sent = true; ///< Whether any byte of the attempt in progress may have been sent.
 };
 /// The caller closed its connection or cancelled.
 struct Cancelled
@@ -119,7 +120,7 @@
     /// @return what to do next; Answer and Fail are returned once, then always Ignore
     AttemptAction::Any on(const AttemptEvent::Any &event);
 
-    /// Attempts made so far that reached, or may have reached, a home.
+    /// Attempts started so far.
     unsigned attemptCount() const
     {
         return this->attempts;
