--- /dev/null
+++ b/unittests/attemptmachinetest.cpp
@@ -0,0 +1,143 @@
+#include <galenarack/execution/attemptmachine.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+using namespace Galenarack;
+
+namespace {
+
+struct ActionName
+{
+    std::string operator()(const AttemptAction::Send &send) const
+    {
+        return "send " + std::to_string(send.attempt);
+    }
+    std::string operator()(const AttemptAction::QueryOutcome &query) const
+    {
+        const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(query.delay).count();
+        return std::string(query.throughThirdNode ? "third " : "query ") + std::to_string(delay);
+    }
+    std::string operator()(const AttemptAction::Answer &) const
+    {
+        return "answer";
+    }
+    std::string operator()(const AttemptAction::Fail &fail) const
+    {
+        return std::string(errorRow(fail.kind).name);
+    }
+    std::string operator()(const AttemptAction::Ignore &) const
+    {
+        return "ignore";
+    }
+};
+
+struct Step
+{
+    AttemptEvent::Any event;
+    const char *expected;
+};
+
+struct Scenario
+{
+    const char *guardsAgainst;
+    WorkKind work;
+    std::vector<Step> steps; ///< After Started.
+    bool exhausted = false; ///< Whether the retry budget is used up.
+};
+
+const AttemptEvent::NotSent notSent;
+const AttemptEvent::ConnectionLost lost;
+const AttemptEvent::Response response;
+const AttemptEvent::BadResponse bad;
+const AttemptEvent::OutcomeUnreachable unreachable;
+const AttemptEvent::DeadlineReached late;
+const AttemptEvent::DeadlineReached lateUnsent{false};
+
+AttemptEvent::Any refused(ErrorKind kind)
+{
+    return AttemptEvent::Refused{kind};
+}
+
+AttemptEvent::Any outcome(ErrorKind kind)
+{
+    return AttemptEvent::OutcomeReply{kind};
+}
+
+using enum ErrorKind;
+constexpr WorkKind repeatable = WorkKind::Repeatable;
+constexpr WorkKind once = WorkKind::NonRepeatable;
+constexpr WorkKind keyed = WorkKind::Keyed;
+
+const std::vector<Scenario> scenarios = {
+    {"two answers to one caller", once, {{response, "answer"}, {response, "ignore"}, {late, "ignore"}}},
+    {"a lost repeatable request that is not retried", repeatable, {{lost, "send 2"}, {response, "answer"}}},
+    {"a retry storm", repeatable, {{lost, "peer-lost"}}, true},
+    {"a retry of a bad response without budget", repeatable, {{bad, "upstream-answer-invalid"}}, true},
+    {"a shed request that is retried without budget", once, {{refused(UpstreamShedding), "upstream-shedding"}}, true},
+    {"a refusal by the home that costs budget", once, {{refused(Overloaded), "send 2"}, {response, "answer"}}, true},
+    {"an earlier uncertain attempt that is forgotten",
+     repeatable,
+     {{lost, "send 2"}, {refused(Draining), "send 3"}, {notSent, "peer-lost"}}},
+    {"an earlier uncertain attempt forgotten at the deadline", repeatable, {{lost, "send 2"}, {lateUnsent, "peer-lost"}}},
+    {"more than three attempts", once, {{refused(LedgerFull), "send 2"}, {notSent, "send 3"}, {refused(Overloaded), "overloaded"}}},
+    {"a refusal elsewhere of what no home can accept", once, {{refused(InvalidRequest), "invalid-request"}}},
+    {"non-repeatable work sent elsewhere after an uncertain outcome",
+     once,
+     {{lost, "query 0"}, {outcome(OutcomeUnknown), "outcome-unknown"}}},
+    {"non-repeatable work repeated after a cut answer", once, {{refused(UpstreamAnswerCut), "upstream-answer-cut"}}},
+    {"a definite not run that is not used", once, {{lost, "query 0"}, {outcome(Tombstoned), "send 2"}, {response, "answer"}}},
+    {"a response lost on the way that is not fetched", once, {{bad, "query 0"}, {bad, "third 0"}, {response, "answer"}}},
+    {"an outcome that is asked for on one path only or forever",
+     once,
+     {{lost, "query 0"},
+      {unreachable, "third 0"},
+      {unreachable, "query 100"},
+      {unreachable, "third 200"},
+      {unreachable, "query 400"},
+      {unreachable, "third 800"},
+      {unreachable, "query 1000"},
+      {unreachable, "third 1000"},
+      {unreachable, "peer-lost"}}},
+    {"a claim of not run at the deadline of a sent request", once, {{late, "timeout"}}},
+    {"a needless doubt at the deadline of an unsent request", once, {{lateUnsent, "deadline-passed"}}},
+    {"a claim of not run while the outcome is open", once, {{lost, "query 0"}, {lateUnsent, "timeout"}}},
+    {"an answer without retained response reported as unknown", once, {{lost, "query 0"}, {outcome(AnswerNotKept), "answer-not-kept"}}},
+    {"a key sent to another home", keyed, {{refused(Overloaded), "overloaded"}}},
+    {"a key sent to another home after its tombstone", keyed, {{lost, "query 0"}, {outcome(Tombstoned), "tombstoned"}}},
+    {"a claim of not run about earlier requests with the key", keyed, {{notSent, "key-home-unreachable"}}},
+    {"the same at the deadline", keyed, {{lateUnsent, "timeout"}}},
+    {"a restarted home reported as not run", keyed, {{refused(KeyHomeRestarted), "key-home-restarted"}}},
+};
+
+} // namespace
+
+class AttemptMachineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AttemptMachineTest);
+    CPPUNIT_TEST(followsScenarios);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void followsScenarios()
+    {
+        for (const Scenario &scenario : scenarios) {
+            RetryBudget budget;
+            while (!scenario.exhausted && !budget.tryHedge()) {
+                budget.onFirstAttempt();
+            }
+            while (scenario.exhausted && budget.tryRetry()) { }
+            AttemptMachine machine(scenario.work, budget);
+            const auto first = std::visit(ActionName(), machine.on(AttemptEvent::Started()));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.guardsAgainst, std::string("send 1"), first);
+            for (const Step &step : scenario.steps) {
+                const auto action = std::visit(ActionName(), machine.on(step.event));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.guardsAgainst, std::string(step.expected), action);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptMachineTest);
--- /dev/null
+++ b/unittests/executionledgertest.cpp
@@ -0,0 +1,346 @@
+#include <galenarack/execution/executionledger.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+using namespace Galenarack;
+
+namespace {
+
+constexpr Incarnation home{0xa1};
+constexpr Incarnation formerHome{0xa0};
+constexpr Incarnation ingress{0xb1};
+
+TimePoint at(int seconds)
+{
+    return TimePoint(std::chrono::hours(1) + std::chrono::seconds(seconds));
+}
+
+/// Request of the tables; times in seconds. A key of 0 is none, and other keys are issued at `issued`.
+struct Request
+{
+    std::uint64_t id = 1;
+    std::uint64_t key = 0;
+    int received = 0;
+    int expiry = 10;
+    std::uint64_t content = 1;
+    Incarnation addressedTo = home;
+    Incarnation keyHome = home;
+    int issued = 0;
+
+    operator LedgerRequest() const
+    {
+        LedgerRequest request{{ingress, this->id}, this->addressedTo, at(this->received), at(this->expiry), {0, this->content}, {}};
+        if (this->key != 0) {
+            request.key = IdempotencyKey{"vm-1", this->keyHome, at(this->issued), this->key};
+        }
+        return request;
+    }
+
+    WorkId work() const
+    {
+        const LedgerRequest request = *this;
+        return request.key ? WorkId::of(*request.key) : WorkId::of(request.id);
+    }
+};
+
+struct DecisionName
+{
+    std::string operator()(const LedgerDecision::Run &) const
+    {
+        return "run";
+    }
+    std::string operator()(const LedgerDecision::Join &) const
+    {
+        return "join";
+    }
+    std::string operator()(const LedgerDecision::Retained &retained) const
+    {
+        return retained.response->body;
+    }
+    std::string operator()(const LedgerDecision::Tombstoned &) const
+    {
+        return "tombstoned";
+    }
+    std::string operator()(const LedgerDecision::Refuse &refuse) const
+    {
+        return std::string(errorRow(refuse.kind).name);
+    }
+};
+
+std::shared_ptr<const RetainedResponse> responseOf(std::string body)
+{
+    return std::make_shared<RetainedResponse>(RetainedResponse{200, {}, std::move(body)});
+}
+
+enum Operation {
+    Admit,
+    Query,
+    Dispatch,
+    Finish,
+    FinishCut,
+    Abandon,
+    Count, ///< Number of entries after expiry.
+};
+
+struct Step
+{
+    int time; ///< Seconds.
+    Operation operation;
+    Request request;
+    std::string expected;
+};
+
+std::string perform(ExecutionLedger &ledger, const Step &step)
+{
+    const TimePoint now = at(step.time);
+    const WorkId work = step.request.work();
+    switch (step.operation) {
+    case Admit:
+        return std::visit(DecisionName(), ledger.admit(step.request, now));
+    case Query:
+        return std::visit(DecisionName(), ledger.queryOutcome(step.request, now));
+    case Dispatch: {
+        const auto refused = ledger.markDispatched(work, now);
+        return refused ? std::string(errorRow(*refused).name) : "";
+    }
+    case Finish:
+        ledger.finish(work, responseOf("body"), now);
+        return "";
+    case FinishCut:
+        ledger.finish(work, ErrorKind::UpstreamAnswerCut, now);
+        return "";
+    case Abandon:
+        ledger.abandon(work, now);
+        return "";
+    case Count:
+        ledger.expire(now);
+        return std::to_string(ledger.entryCount());
+    }
+    return "";
+}
+
+struct Scenario
+{
+    const char *guardsAgainst;
+    std::vector<Step> steps;
+    std::size_t maxEntries = 60'000;
+};
+
+const Request unkeyed{};
+const Request keyed{.key = 5};
+
+const std::vector<Scenario> scenarios = {
+    {"a second run of a copy",
+     {{0, Admit, unkeyed, "run"},
+      {1, Admit, unkeyed, "join"},
+      {1, Dispatch, unkeyed, ""},
+      {2, Admit, unkeyed, "join"},
+      {3, Finish, unkeyed, ""},
+      {4, Admit, unkeyed, "body"}}},
+    {"a second run of a key through another ingress",
+     {{0, Admit, keyed, "run"},
+      {0, Dispatch, keyed, ""},
+      {1, Admit, {.id = 2, .key = 5}, "join"},
+      {2, Finish, keyed, ""},
+      {9, Admit, {.id = 3, .key = 5, .received = 8, .expiry = 20}, "body"}}},
+    {"a dropped response that is reported as not run",
+     {{0, Admit, keyed, "run"},
+      {0, Dispatch, keyed, ""},
+      {1, Finish, keyed, ""},
+      {60, Query, keyed, "body"},
+      {61, Query, keyed, "answer-not-kept"},
+      {299, Admit, keyed, "answer-not-kept"}}},
+    {"a key that runs again once its entry is gone",
+     {{0, Admit, keyed, "run"},
+      {0, Dispatch, keyed, ""},
+      {1, Finish, keyed, ""},
+      {299, Count, {}, "1"},
+      {300, Admit, {.id = 2, .key = 5, .received = 300, .expiry = 310}, "key-expired"},
+      {300, Query, keyed, "outcome-unknown"},
+      {301, Count, {}, "0"}}},
+    {"an interrupted run that is repeated",
+     {{0, Admit, keyed, "run"},
+      {0, Dispatch, keyed, ""},
+      {1, FinishCut, keyed, ""},
+      {2, Admit, {.id = 2, .key = 5}, "upstream-answer-cut"}}},
+    {"work that starts after its expiry",
+     {{10, Admit, unkeyed, "deadline-passed"},
+      {9, Admit, {.id = 2}, "run"},
+      {10, Dispatch, {.id = 2}, "deadline-passed"},
+      {10, Admit, {.id = 2}, "tombstoned"}}},
+    {"a copy that runs after the outcome was reported as not run",
+     {{1, Query, unkeyed, "tombstoned"},
+      {2, Admit, unkeyed, "tombstoned"},
+      {3, Query, keyed, "tombstoned"},
+      {4, Admit, keyed, "tombstoned"}}},
+    {"an outcome of not run for work that is running or ended",
+     {{0, Admit, unkeyed, "run"},
+      {1, Query, unkeyed, "join"},
+      {1, Dispatch, unkeyed, ""},
+      {2, Query, unkeyed, "join"},
+      {3, Finish, unkeyed, ""},
+      {4, Query, unkeyed, "body"}}},
+    {"an outcome of not run when the entry may be gone already",
+     {{0, Admit, unkeyed, "run"},
+      {0, Dispatch, unkeyed, ""},
+      {1, Finish, unkeyed, ""},
+      {14, Query, unkeyed, "body"},
+      {15, Query, unkeyed, "outcome-unknown"},
+      {16, Count, {}, "0"}}},
+    {"an entry dropped while its work runs",
+     {{0, Admit, unkeyed, "run"},
+      {0, Dispatch, unkeyed, ""},
+      {400, Count, {}, "1"},
+      {400, Query, unkeyed, "join"},
+      {400, Finish, unkeyed, ""},
+      {400, Count, {}, "0"}}},
+    {"a copy that runs after a refusal before dispatch",
+     {{0, Admit, unkeyed, "run"}, {1, Abandon, unkeyed, ""}, {2, Admit, unkeyed, "tombstoned"}, {2, Query, unkeyed, "tombstoned"}}},
+    {"a key that is lost after a refusal before dispatch, or a late request with it that runs",
+     {{0, Admit, keyed, "run"},
+      {4, Abandon, keyed, ""},
+      {5, Admit, {.id = 2, .key = 5, .received = 4}, "tombstoned"},
+      {6, Admit, {.id = 3, .key = 5, .received = 5}, "tombstoned"},
+      {7, Admit, {.id = 4, .key = 5, .received = 7}, "run"}}},
+    {"a refused request that runs as a copy once there is room",
+     {{0, Admit, unkeyed, "run"},
+      {0, Admit, {.id = 2}, "ledger-full"},
+      {0, Admit, {.id = 3, .key = 6}, "ledger-full"},
+      {1, Admit, {.id = 4, .expiry = 20}, "ledger-full"},
+      {1, Query, {.id = 5, .expiry = 20}, "tombstoned"},
+      {16, Count, {}, "1"},
+      {16, Abandon, unkeyed, ""},
+      {17, Count, {}, "0"},
+      {18, Admit, {.id = 4, .expiry = 20}, "tombstoned"},
+      {18, Admit, {.id = 5, .expiry = 20}, "tombstoned"}},
+     1},
+    {"a full ledger that forgets an entry",
+     {{0, Admit, keyed, "run"},
+      {0, Dispatch, keyed, ""},
+      {1, Finish, keyed, ""},
+      {290, Admit, {.id = 2, .received = 290, .expiry = 299}, "ledger-full"},
+      {290, Admit, keyed, "answer-not-kept"}},
+     1},
+};
+
+} // namespace
+
+class ExecutionLedgerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExecutionLedgerTest);
+    CPPUNIT_TEST(followsScenarios);
+    CPPUNIT_TEST(refusesWhatItCannotRun);
+    CPPUNIT_TEST(boundsRetainedBytes);
+    CPPUNIT_TEST(wheelIsNeverEarly);
+    CPPUNIT_TEST(filterFindsAllItHolds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void followsScenarios()
+    {
+        for (const Scenario &scenario : scenarios) {
+            LedgerLimits limits;
+            limits.maxEntries = scenario.maxEntries;
+            ExecutionLedger ledger(home, limits, at(0));
+            for (const Step &step : scenario.steps) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    scenario.guardsAgainst + std::string(", at ") + std::to_string(step.time), step.expected, perform(ledger, step));
+            }
+        }
+    }
+
+    /// Guards against a refusal with a kind that says the wrong thing about execution.
+    void refusesWhatItCannotRun()
+    {
+        struct Row
+        {
+            Request request;
+            const char *expected;
+        };
+        const Row rows[] = {
+            {{.addressedTo = formerHome}, "stale-incarnation"},
+            {{.key = 7, .addressedTo = formerHome}, "stale-incarnation"},
+            {{.key = 7, .keyHome = formerHome}, "key-home-restarted"},
+            {{.key = 7, .issued = -300}, "key-expired"},
+            {{.key = 7, .issued = 2}, "key-not-issued"},
+            {{.key = 8, .content = 2}, "key-conflict"},
+            {{.key = 8, .expiry = -1, .addressedTo = formerHome}, "join"},
+            {{.expiry = 0}, "deadline-passed"},
+            {{.expiry = 61}, "internal"},
+            {{.received = 2}, "internal"},
+            {{.received = -1, .expiry = 59}, "run"},
+        };
+        for (const Row &row : rows) {
+            ExecutionLedger ledger(home, {}, at(0));
+            ledger.admit(Request{.key = 8}, at(0));
+            CPPUNIT_ASSERT_EQUAL(std::string(row.expected), std::visit(DecisionName(), ledger.admit(row.request, at(0))));
+        }
+    }
+
+    /// Guards against responses that outgrow their limit, and against dropping the newest.
+    void boundsRetainedBytes()
+    {
+        LedgerLimits limits;
+        limits.maxResponseBytes = 10'000;
+        ExecutionLedger ledger(home, limits, at(0));
+        const std::size_t sizes[] = {4'000, 4'000, 4'000, 20'000};
+        for (std::uint64_t id = 1; id <= std::size(sizes); ++id) {
+            const Request request{.id = id};
+            ledger.admit(request, at(0));
+            CPPUNIT_ASSERT(!ledger.markDispatched(request.work(), at(0)));
+            ledger.finish(request.work(), responseOf(std::string(sizes[id - 1], 'x')), at(0));
+            CPPUNIT_ASSERT(ledger.responseByteCount() <= limits.maxResponseBytes);
+        }
+        const std::string kept(4'000, 'x');
+        const std::string expected[] = {"answer-not-kept", kept, kept, "answer-not-kept"};
+        for (std::uint64_t id = 1; id <= std::size(sizes); ++id) {
+            CPPUNIT_ASSERT_EQUAL(expected[id - 1], std::visit(DecisionName(), ledger.queryOutcome(Request{.id = id}, at(1))));
+        }
+        ledger.expire(at(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), ledger.responseByteCount());
+    }
+
+    /// Guards against an entry that is dropped early, or that is skipped after a pause longer than the wheel.
+    void wheelIsNeverEarly()
+    {
+        struct Row
+        {
+            int scheduledMs;
+            int notDueMs;
+            int dueMs;
+        };
+        const Row rows[] = {{0, -1, 0}, {15, 14, 20}, {20, 19, 20}, {1'000, 999, 1'000}, {999, 998, 100'000}, {5'000, 990, 1'010}};
+        for (const Row &row : rows) {
+            ExpiryWheel wheel(std::chrono::seconds(1), at(0));
+            wheel.grow(1);
+            wheel.schedule(0, at(0) + std::chrono::milliseconds(row.scheduledMs));
+            CPPUNIT_ASSERT(!wheel.takeDue(at(0) + std::chrono::milliseconds(row.notDueMs)));
+            CPPUNIT_ASSERT(wheel.takeDue(at(0) + std::chrono::milliseconds(row.dueMs)) == 0U);
+            CPPUNIT_ASSERT(!wheel.takeDue(at(1'000)));
+        }
+    }
+
+    /// Guards against a tombstone that is forgotten, and against a filter that refuses much fresh work.
+    void filterFindsAllItHolds()
+    {
+        constexpr std::uint64_t count = 300'000;
+        constexpr std::uint64_t perSecond = 10'000;
+        constexpr int lifetime = 5;
+        TombstoneFilter filter;
+        std::uint64_t mistakes = 0;
+        for (std::uint64_t i = 0; i < count; ++i) {
+            const int second = static_cast<int>(i / perSecond);
+            mistakes += filter.mayContain({2, i, false}, at(second)) ? 1 : 0;
+            filter.add({1, i, false}, at(second + lifetime), at(second));
+            const std::uint64_t oldest = i < (lifetime - 1) * perSecond ? 0 : i - (lifetime - 1) * perSecond;
+            CPPUNIT_ASSERT(filter.mayContain({1, i, false}, at(second)));
+            CPPUNIT_ASSERT(filter.mayContain({1, oldest, false}, at(second)));
+        }
+        CPPUNIT_ASSERT(mistakes < count / 1'000);
+        CPPUNIT_ASSERT(!filter.mayContain({1, count - 1, false}, at(100)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExecutionLedgerTest);
--- /dev/null
+++ b/unittests/executionmodel.cpp
@@ -0,0 +1,601 @@
+#include "executionmodel.h"
+
+namespace ExecutionModel {
+
+namespace {
+
+constexpr std::size_t callerCount = 8;
+constexpr Duration deadline = std::chrono::seconds(2);
+
+template<typename... Functions>
+struct Overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template<typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+WorkId workOf(const LedgerRequest &request)
+{
+    return request.key ? WorkId::of(*request.key) : WorkId::of(request.id);
+}
+
+std::string responseTo(const std::string &body)
+{
+    return "done " + body + " end";
+}
+
+} // namespace
+
+std::vector<Fault> randomFaults(std::mt19937_64 &random, std::uint64_t longestGapMs)
+{
+    std::vector<Fault> faults;
+    for (int i = 0; i < 40; ++i) {
+        faults.push_back({static_cast<Fault::Kind>(random() % 5),
+                          random() % nodeCount,
+                          random() % nodeCount,
+                          static_cast<int>(random() % longestGapMs),
+                          static_cast<int>(random() % 5000)});
+    }
+    return faults;
+}
+
+Counts &Counts::operator+=(const Counts &other)
+{
+    this->steps += other.steps;
+    this->answered += other.answered;
+    this->toldNotRun += other.toldNotRun;
+    this->uncertain += other.uncertain;
+    this->resolved += other.resolved;
+    this->joinedOrRetained += other.joinedOrRetained;
+    this->ledgerFull += other.ledgerFull;
+    return *this;
+}
+
+World::World(std::uint64_t seed, std::vector<Fault> faults, Removed removed)
+    : random(seed)
+    , faults(std::move(faults))
+    , removed(removed)
+    , waitingFor(callerCount)
+    , mint(seed)
+{
+    // Short times, so that entries, keys and responses end within a run.
+    this->limits.maxEntries = 4 + this->pick(60);
+    this->limits.maxResponseBytes = 4000;
+    this->limits.retryHorizon = std::chrono::seconds(10);
+    this->limits.responseRetention = std::chrono::seconds(3);
+    this->limits.maxRequestLifetime = deadline;
+    this->limits.outcomeMargin = std::chrono::seconds(1);
+    for (std::size_t node = 0; node < nodeCount; ++node) {
+        this->start(node);
+    }
+    for (std::size_t caller = 0; caller < callerCount; ++caller) {
+        this->schedule(this->now + this->between(300, 600), noNode, {}, [this, caller] {
+            this->newWork(caller);
+        });
+    }
+    if (!this->faults.empty()) {
+        this->applyFault(0);
+    }
+}
+
+const std::string &World::run(std::uint64_t steps)
+{
+    while (this->counts.steps < steps && this->violation.empty()) {
+        Event event = this->events.top();
+        this->events.pop();
+        this->now = event.time;
+        if (event.node != noNode) {
+            const Node &node = this->nodes[event.node];
+            if (node.frozenUntil > this->now) {
+                event.time = node.frozenUntil;
+                this->events.push(std::move(event));
+                continue;
+            }
+            if (event.incarnation.value != 0 && event.incarnation != node.incarnation) {
+                continue;
+            }
+        }
+        event.action();
+        ++this->counts.steps;
+    }
+    return this->violation;
+}
+
+std::uint64_t World::pick(std::uint64_t count)
+{
+    return this->random() % count;
+}
+
+bool World::chance(double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+}
+
+Duration World::between(int leastMs, int mostMs)
+{
+    return std::chrono::microseconds(1000 * leastMs + this->pick(1000 * (mostMs - leastMs)));
+}
+
+void World::schedule(TimePoint time, std::size_t node, Incarnation incarnation, std::function<void()> action)
+{
+    this->events.push({time, this->eventOrder++, node, incarnation, std::move(action)});
+}
+
+void World::timer(std::size_t node, Duration delay, std::function<void()> action)
+{
+    this->schedule(this->now + delay, node, this->nodes[node].incarnation, std::move(action));
+}
+
+void World::message(std::size_t from, std::size_t to, const std::function<void(bool isCopy)> &action, bool duplicate)
+{
+    if (this->cutUntil[from][to] > this->now) {
+        return;
+    }
+    const double kind = std::uniform_real_distribution<double>(0, 1)(this->random);
+    const Duration delay = kind < 0.9 ? this->between(1, 3) : kind < 0.97 ? this->between(3, 300) : this->between(300, 6000);
+    // Delivered to whichever run of the node is there, which is worse than TCP.
+    this->schedule(this->now + delay, to, {}, [action] {
+        action(false);
+    });
+    if (duplicate && this->chance(0.1)) {
+        const Duration extra = this->chance(0.7) ? this->between(0, 300) : this->between(300, 8000);
+        this->schedule(this->now + delay + extra, to, {}, [action] {
+            action(true);
+        });
+    }
+}
+
+void World::start(std::size_t index)
+{
+    Node &node = this->nodes[index];
+    node = Node();
+    node.incarnation = {this->random() | 1U};
+    // Without key binding, a key has to mean the same time everywhere.
+    node.clockOffset = this->removed == Removed::KeyBinding ? Duration::zero() : this->between(0, 100'000);
+    node.revision = this->revision;
+    node.ledger = std::make_unique<ExecutionLedger>(node.incarnation, this->limits, this->clockOf(index));
+    this->heartbeat(index);
+}
+
+void World::heartbeat(std::size_t node)
+{
+    for (std::size_t peer = 0; peer < nodeCount; ++peer) {
+        const PeerView view{this->nodes[node].incarnation, this->clockOf(node), {}};
+        const std::size_t revision = this->nodes[node].revision;
+        const auto update = [this, node, peer, view, revision](bool /*isCopy*/) {
+            Node &receiver = this->nodes[peer];
+            receiver.peers[node] = {view.incarnation, view.homeClock, this->now};
+            receiver.revision = std::max(receiver.revision, revision);
+        };
+        this->message(node, peer, update, false);
+    }
+    this->nodes[node].ledger->expire(this->clockOf(node));
+    this->timer(node, std::chrono::milliseconds(200), [this, node] {
+        this->heartbeat(node);
+    });
+}
+
+void World::applyFault(std::size_t number)
+{
+    const Fault &fault = this->faults[number];
+    const TimePoint end = this->now + std::chrono::milliseconds(fault.durationMs);
+    Node &node = this->nodes[fault.node];
+    switch (fault.kind) {
+    case Fault::CutOneWay:
+        this->cutUntil[fault.node][fault.other] = end;
+        break;
+    case Fault::Isolate:
+        for (std::size_t other = 0; other < nodeCount; ++other) {
+            this->cutUntil[fault.node][other] = this->cutUntil[other][fault.node] = end;
+        }
+        break;
+    case Fault::Freeze:
+        if (node.frozenUntil <= this->now) {
+            node.frozenSince = this->now;
+        }
+        node.frozenUntil = std::max(node.frozenUntil, end);
+        break;
+    case Fault::Restart:
+        this->start(fault.node);
+        break;
+    case Fault::NewRevision:
+        node.revision = ++this->revision;
+        break;
+    }
+    const std::size_t next = (number + 1) % this->faults.size();
+    this->schedule(this->now + std::chrono::milliseconds(10 + this->faults[next].gapMs), noNode, {}, [this, next] {
+        this->applyFault(next);
+    });
+}
+
+TimePoint World::clockOf(std::size_t node) const
+{
+    return this->now + this->nodes[node].clockOffset;
+}
+
+TimePoint World::estimate(std::size_t node, std::size_t home, TimePoint localTime) const
+{
+    const PeerView &view = this->nodes[node].peers[home];
+    return view.homeClock + (localTime - view.receivedAt);
+}
+
+void World::newWork(std::size_t caller)
+{
+    CallerRequest request;
+    request.caller = caller;
+    request.work = this->works.size();
+    request.kind = static_cast<WorkKind>(this->pick(3));
+    request.body = "work " + std::to_string(request.work);
+    this->works.emplace_back();
+    if (request.kind == WorkKind::Keyed) {
+        const std::size_t ingress = this->pick(nodeCount);
+        const std::size_t home = (this->nodes[ingress].revision + this->pick(nodeCount - 1)) % nodeCount;
+        const PeerView &view = this->nodes[ingress].peers[home];
+        if (view.incarnation.value == 0 || this->nodes[ingress].frozenUntil > this->now) {
+            request.kind = WorkKind::NonRepeatable;
+        } else {
+            request.key = this->mint.mint("vm-" + std::to_string(home), view.incarnation, this->estimate(ingress, home, this->now));
+        }
+    }
+    this->send(request);
+}
+
+void World::send(CallerRequest request)
+{
+    request.serial = this->nextSerial++;
+    ++request.ordinal;
+    this->waitingFor[request.caller] = request.serial;
+    const std::size_t ingress = this->pick(nodeCount);
+    const Node &node = this->nodes[ingress];
+    // A frozen ingress reads the request when it resumes, and takes it as received before the pause.
+    const TimePoint received = node.frozenUntil > this->now ? node.frozenSince : this->now;
+    this->schedule(this->now, ingress, node.incarnation, [this, ingress, request, received] {
+        this->startTask(ingress, request, received);
+    });
+    const Duration patience = this->chance(0.3) ? this->between(5, 300) : this->between(300, 5000);
+    this->schedule(this->now + patience, noNode, {}, [this, request] {
+        this->giveUp(request);
+    });
+}
+
+void World::sendAgain(CallerRequest request)
+{
+    // Some callers use their key for something else.
+    if (this->chance(0.05)) {
+        request.body += " changed";
+    }
+    const Duration pause = this->chance(0.8) ? this->between(1, 50) : this->between(50, 12'000);
+    this->schedule(this->now + pause, noNode, {}, [this, request] {
+        this->send(request);
+    });
+}
+
+void World::giveUp(const CallerRequest &request)
+{
+    if (this->waitingFor[request.caller] == request.serial) {
+        this->tellCaller(request, {ErrorKind::Timeout, {}});
+    }
+}
+
+void World::tellCaller(const CallerRequest &request, const Reply &reply)
+{
+    if (this->waitingFor[request.caller] != request.serial) {
+        return;
+    }
+    this->waitingFor[request.caller] = 0;
+    Work &work = this->works[request.work];
+    const auto told = reply.kind ? errorRow(*reply.kind).execution : Galenarack::Execution::Ran;
+    if (!reply.kind) {
+        ++this->counts.answered;
+        this->check(reply.body == responseTo(request.body), "a caller gets only its own whole response", request);
+    }
+    if (told == Galenarack::Execution::Ran) {
+        this->check(work.runs > 0, "what was reported as run did run", request);
+    }
+    if (told == Galenarack::Execution::NotRun) {
+        ++this->counts.toldNotRun;
+        work.notRunUpTo = std::max(work.notRunUpTo, request.ordinal);
+        this->check(work.runs == 0 || work.ranFor > work.notRunUpTo, "what was reported as not run did not run", request);
+    }
+    const bool wantsMore = request.key && request.ordinal < 6 && (told == Galenarack::Execution::MayHaveRun || this->chance(0.4));
+    if (wantsMore) {
+        this->sendAgain(request);
+        return;
+    }
+    this->schedule(this->now + this->between(1, 100), noNode, {}, [this, caller = request.caller] {
+        this->newWork(caller);
+    });
+}
+
+void World::startTask(std::size_t node, const CallerRequest &request, TimePoint received)
+{
+    const bool isUnprotected = this->removed == Removed::UncertaintyRule;
+    const AttemptMachine machine(isUnprotected ? WorkKind::Repeatable : request.kind, this->nodes[node].budget);
+    const auto task = std::make_shared<Task>(Task{node, request, received, machine, noNode, {}, 0, false});
+    this->timer(node, deadline, [this, task] {
+        this->feed(task, AttemptEvent::DeadlineReached());
+    });
+    if (this->chance(0.03)) {
+        this->timer(node, this->between(1, 100), [this, task] {
+            this->feed(task, AttemptEvent::Cancelled());
+        });
+    }
+    this->feed(task, AttemptEvent::Started());
+}
+
+void World::feed(const TaskPtr &task, const AttemptEvent::Any &event, const Reply &reply)
+{
+    const AttemptAction::Any action = task->machine.on(event);
+    std::visit(Overloaded{[&](const AttemptAction::Answer &) {
+                              this->endTask(task, reply);
+                          },
+                          [&](const AttemptAction::Fail &fail) {
+                              this->endTask(task, {fail.kind, {}});
+                          },
+                          [](const AttemptAction::Ignore &) {},
+                          [&](const auto &next) {
+                              this->perform(task, next);
+                          }},
+               action);
+}
+
+std::size_t World::chooseHome(const Task &task)
+{
+    if (task.request.key && this->removed != Removed::KeyBinding && this->removed != Removed::UncertaintyRule) {
+        return task.request.key->vm.back() - '0';
+    }
+    // Each revision leaves out one home.
+    return (this->nodes[task.node].revision + this->pick(nodeCount - 1)) % nodeCount;
+}
+
+void World::perform(const TaskPtr &task, const AttemptAction::Send & /*action*/)
+{
+    Node &node = this->nodes[task->node];
+    task->home = this->chooseHome(*task);
+    const unsigned stream = ++task->stream;
+    const Incarnation addressedTo = node.peers[task->home].incarnation;
+    if (addressedTo.value == 0 || this->chance(0.02)) {
+        this->feed(task, AttemptEvent::NotSent());
+        return;
+    }
+    const TimePoint received = this->estimate(task->node, task->home, task->received);
+    const RequestId id{node.incarnation, node.nextSequence++};
+    const auto fingerprint = RequestFingerprint::of("POST", "/", task->request.body);
+    task->sent = {id, addressedTo, received, received + deadline, fingerprint, task->request.key};
+
+    const ReplyTo reply = this->replyTo(task, task->home, noNode, false);
+    const auto deliver = [this, home = task->home, sent = task->sent, content = task->request, reply](bool isCopy) {
+        // The answer to a copy has no stream to arrive on.
+        this->receive(home, sent, content, isCopy ? [](const Reply &) {} : reply);
+    };
+    this->message(task->node, task->home, deliver, task->request.kind != WorkKind::Repeatable);
+    this->timer(task->node, this->between(20, 1500), [this, task, stream] {
+        if (task->stream == stream) {
+            this->feed(task, AttemptEvent::ConnectionLost());
+        }
+    });
+}
+
+void World::perform(const TaskPtr &task, const AttemptAction::QueryOutcome &action)
+{
+    this->counts.uncertain += task->queried ? 0 : 1;
+    task->queried = true;
+    const unsigned stream = ++task->stream;
+    const std::size_t via = action.throughThirdNode ? this->pick(nodeCount) : noNode;
+    this->timer(task->node, action.delay, [this, task, via] {
+        const ReplyTo reply = this->replyTo(task, task->home, via, true);
+        const auto deliver = [this, home = task->home, sent = task->sent, reply](bool /*isCopy*/) {
+            this->receiveQuery(home, sent, reply);
+        };
+        if (via == noNode) {
+            this->message(task->node, task->home, deliver, true);
+            return;
+        }
+        const auto relay = [this, via, home = task->home, deliver](bool /*isCopy*/) {
+            this->message(via, home, deliver, true);
+        };
+        this->message(task->node, via, relay, true);
+    });
+    this->timer(task->node, action.delay + this->between(50, 500), [this, task, stream] {
+        if (task->stream == stream) {
+            this->feed(task, AttemptEvent::OutcomeUnreachable());
+        }
+    });
+}
+
+World::ReplyTo World::replyTo(const TaskPtr &task, std::size_t home, std::size_t via, bool isQuery)
+{
+    const auto arrive = [this, task, isQuery, stream = task->stream, ingress = this->nodes[task->node].incarnation](const Reply &reply) {
+        if (task->stream != stream || this->nodes[task->node].incarnation != ingress) {
+            return;
+        }
+        if (!reply.kind && this->chance(0.03)) {
+            this->feed(task, AttemptEvent::BadResponse());
+        } else if (!reply.kind) {
+            this->feed(task, AttemptEvent::Response(), reply);
+        } else if (isQuery) {
+            this->feed(task, AttemptEvent::OutcomeReply{*reply.kind});
+        } else {
+            this->feed(task, AttemptEvent::Refused{*reply.kind});
+        }
+    };
+    return [this, home, via, arrive, node = task->node](const Reply &reply) {
+        const auto deliver = [arrive, reply](bool /*isCopy*/) {
+            arrive(reply);
+        };
+        if (via == noNode) {
+            this->message(home, node, deliver, false);
+            return;
+        }
+        const auto relay = [this, via, node, deliver](bool /*isCopy*/) {
+            this->message(via, node, deliver, false);
+        };
+        this->message(home, via, relay, false);
+    };
+}
+
+void World::endTask(const TaskPtr &task, const Reply &reply)
+{
+    const bool isDefinite = !reply.kind || errorRow(*reply.kind).execution != Galenarack::Execution::MayHaveRun;
+    this->counts.resolved += task->queried && isDefinite ? 1 : 0;
+    ++task->stream;
+    this->tellCaller(task->request, reply);
+}
+
+LedgerRequest World::asSeenBy(std::size_t home, LedgerRequest request) const
+{
+    const TimePoint clock = this->clockOf(home);
+    if (this->removed == Removed::HomeExpiry) {
+        request.received = clock;
+        request.expiry = clock + this->limits.maxRequestLifetime;
+    }
+    if (this->removed == Removed::ReceiptOrder) {
+        request.received = std::max(request.received, clock);
+    }
+    if (this->removed == Removed::IncarnationCheck) {
+        request.addressedTo = this->nodes[home].incarnation;
+    }
+    if (this->removed == Removed::KeyBinding && request.key) {
+        request.key->home = this->nodes[home].incarnation;
+    }
+    if (this->removed == Removed::Fingerprint) {
+        request.fingerprint = {};
+    }
+    return request;
+}
+
+void World::receive(std::size_t home, const LedgerRequest &sent, const CallerRequest &content, const ReplyTo &reply)
+{
+    if (content.kind == WorkKind::Repeatable) {
+        this->receiveRepeatable(home, sent, content, reply);
+        return;
+    }
+    Node &node = this->nodes[home];
+    const LedgerRequest request = this->asSeenBy(home, sent);
+    node.seen.insert(workOf(request));
+    std::visit(Overloaded{[&](const LedgerDecision::Run &run) {
+                              node.running[run.work] = {content, {reply}};
+                              this->timer(home, this->between(0, 40), [this, home, work = run.work] {
+                                  this->dispatch(home, work);
+                              });
+                          },
+                          [&](const LedgerDecision::Join &join) {
+                              ++this->counts.joinedOrRetained;
+                              node.running[join.work].waiting.push_back(reply);
+                          },
+                          [&](const LedgerDecision::Retained &retained) {
+                              ++this->counts.joinedOrRetained;
+                              reply({std::nullopt, retained.response->body});
+                          },
+                          [&](const LedgerDecision::Tombstoned &) {
+                              reply({ErrorKind::Tombstoned, {}});
+                          },
+                          [&](const LedgerDecision::Refuse &refuse) {
+                              this->counts.ledgerFull += refuse.kind == ErrorKind::LedgerFull ? 1 : 0;
+                              reply({refuse.kind, {}});
+                          }},
+               node.ledger->admit(request, this->clockOf(home)));
+}
+
+void World::receiveRepeatable(std::size_t home, const LedgerRequest &request, const CallerRequest &content, const ReplyTo &reply)
+{
+    if (request.addressedTo != this->nodes[home].incarnation) {
+        reply({ErrorKind::StaleIncarnation, {}});
+    } else if (request.expiry <= this->clockOf(home)) {
+        reply({ErrorKind::DeadlinePassed, {}});
+    } else if (this->chance(0.05)) {
+        reply({ErrorKind::Overloaded, {}});
+    } else {
+        this->countRun(content);
+        this->timer(home, this->between(1, 100), [reply, body = responseTo(content.body)] {
+            reply({std::nullopt, body});
+        });
+    }
+}
+
+void World::receiveQuery(std::size_t home, const LedgerRequest &sent, const ReplyTo &reply)
+{
+    Node &node = this->nodes[home];
+    const LedgerRequest request = this->asSeenBy(home, sent);
+    if (this->removed == Removed::Tombstone && !node.seen.contains(workOf(request))) {
+        reply({ErrorKind::Tombstoned, {}});
+        return;
+    }
+    std::visit(Overloaded{[&](const LedgerDecision::Join &join) {
+                              node.running[join.work].waiting.push_back(reply);
+                          },
+                          [&](const LedgerDecision::Retained &retained) {
+                              reply({std::nullopt, retained.response->body});
+                          },
+                          [&](const LedgerDecision::Tombstoned &) {
+                              reply({ErrorKind::Tombstoned, {}});
+                          },
+                          [&](const LedgerDecision::Refuse &refuse) {
+                              reply({refuse.kind, {}});
+                          }},
+               node.ledger->queryOutcome(request, this->clockOf(home)));
+}
+
+void World::dispatch(std::size_t home, const WorkId &work)
+{
+    ExecutionLedger &ledger = *this->nodes[home].ledger;
+    if (this->chance(0.08)) {
+        ledger.abandon(work, this->clockOf(home));
+        this->endExecution(home, work, {ErrorKind::Overloaded, {}});
+    } else if (const auto refused = ledger.markDispatched(work, this->clockOf(home))) {
+        this->endExecution(home, work, {*refused, {}});
+    } else if (this->chance(0.05)) {
+        ledger.abandon(work, this->clockOf(home));
+        this->endExecution(home, work, {ErrorKind::UpstreamShedding, {}});
+    } else {
+        this->countRun(this->nodes[home].running.at(work).request);
+        const Duration serviceTime = this->chance(0.9) ? this->between(1, 100) : this->between(100, 4000);
+        this->timer(home, serviceTime, [this, home, work] {
+            this->complete(home, work);
+        });
+    }
+}
+
+void World::complete(std::size_t home, const WorkId &work)
+{
+    ExecutionLedger &ledger = *this->nodes[home].ledger;
+    if (this->chance(0.05)) {
+        ledger.finish(work, ErrorKind::UpstreamAnswerCut, this->clockOf(home));
+        this->endExecution(home, work, {ErrorKind::UpstreamAnswerCut, {}});
+        return;
+    }
+    auto response = std::make_shared<RetainedResponse>();
+    response->body = responseTo(this->nodes[home].running.at(work).request.body);
+    const Reply reply{std::nullopt, response->body};
+    ledger.finish(work, std::move(response), this->clockOf(home));
+    this->endExecution(home, work, reply);
+}
+
+void World::endExecution(std::size_t home, const WorkId &work, const Reply &reply)
+{
+    const auto ended = this->nodes[home].running.extract(work);
+    for (const ReplyTo &waiting : ended.mapped().waiting) {
+        waiting(reply);
+    }
+}
+
+void World::countRun(const CallerRequest &request)
+{
+    Work &work = this->works[request.work];
+    ++work.runs;
+    work.ranFor = request.ordinal;
+    this->check(work.runs == 1 || request.kind == WorkKind::Repeatable, "non-repeatable work runs at most once", request);
+    this->check(request.ordinal > work.notRunUpTo, "what was reported as not run never runs", request);
+}
+
+void World::check(bool holds, const char *property, const CallerRequest &request)
+{
+    if (holds || !this->violation.empty()) {
+        return;
+    }
+    this->violation = std::string(property) + ": " + request.body + ", request " + std::to_string(request.ordinal) + " of it, at "
+                      + std::to_string(toMilliseconds(this->now)) + " ms";
+}
+
+} // namespace ExecutionModel
--- /dev/null
+++ b/unittests/executionmodel.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include <galenarack/execution/attemptmachine.h>
+#include <galenarack/execution/executionledger.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace ExecutionModel {
+
+using namespace Galenarack;
+
+constexpr std::size_t nodeCount = 4;
+
+/// A protection that the model switches off, to show that the properties depend on it.
+enum class Removed {
+    Nothing,
+    Tombstone, ///< An outcome query answers not run without leaving a tombstone.
+    HomeExpiry, ///< The home takes each request as freshly received.
+    IncarnationCheck, ///< The home takes each request as addressed to its present run.
+    KeyBinding, ///< A key is accepted by every home and run, and sent to any.
+    UncertaintyRule, ///< The ingress treats non-repeatable work as repeatable.
+    ReceiptOrder, ///< The home does not distinguish requests received before and after a refusal.
+    Fingerprint, ///< The home does not compare what a key was used for.
+};
+
+/// One fault; faults follow each other by their gaps and then start over.
+struct Fault
+{
+    enum Kind {
+        CutOneWay,
+        Isolate,
+        Freeze,
+        Restart,
+        NewRevision,
+    };
+
+    Kind kind;
+    std::size_t node;
+    std::size_t other;
+    int gapMs;
+    int durationMs;
+};
+
+/// @param longestGapMs 300 gives several faults at any moment, 20,000 leaves time to recover from each
+std::vector<Fault> randomFaults(std::mt19937_64 &random, std::uint64_t longestGapMs);
+
+struct Counts
+{
+    std::uint64_t steps = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t toldNotRun = 0;
+    std::uint64_t uncertain = 0; ///< Requests for which an outcome was asked for.
+    std::uint64_t resolved = 0; ///< Of these, answered with a definite outcome.
+    std::uint64_t joinedOrRetained = 0;
+    std::uint64_t ledgerFull = 0;
+
+    Counts &operator+=(const Counts &other);
+};
+
+/// Nodes with both roles, upstreams that count runs, callers, and the network between them, in virtual time.
+class World
+{
+public:
+    World(std::uint64_t seed, std::vector<Fault> faults, Removed removed);
+
+    /// Processes events until `steps` are done or a property is violated.
+    /// @return the violation, or an empty text
+    const std::string &run(std::uint64_t steps);
+
+    Counts counts;
+
+private:
+    static constexpr std::size_t noNode = nodeCount;
+
+    struct Reply
+    {
+        std::optional<ErrorKind> kind;
+        std::string body;
+    };
+    using ReplyTo = std::function<void(const Reply &)>;
+
+    /// Work as the callers see it: one request, or all requests with one key.
+    struct Work
+    {
+        unsigned runs = 0;
+        int ranFor = 0; ///< Ordinal of the request that caused the run.
+        int notRunUpTo = 0; ///< Highest ordinal for which the caller was told that it did not run.
+    };
+    struct CallerRequest
+    {
+        std::size_t caller = 0;
+        std::uint64_t serial = 0; ///< Distinguishes the request that the caller still waits for.
+        std::size_t work = 0;
+        int ordinal = 0; ///< Position among the requests for this work, from 1.
+        WorkKind kind = WorkKind::Repeatable;
+        std::optional<IdempotencyKey> key;
+        std::string body;
+    };
+    struct Execution
+    {
+        CallerRequest request;
+        std::vector<ReplyTo> waiting;
+    };
+    struct PeerView
+    {
+        Incarnation incarnation;
+        TimePoint homeClock;
+        TimePoint receivedAt;
+    };
+    struct Node
+    {
+        Incarnation incarnation;
+        Duration clockOffset{};
+        TimePoint frozenSince;
+        TimePoint frozenUntil;
+        std::unique_ptr<ExecutionLedger> ledger;
+        absl::flat_hash_map<WorkId, Execution> running;
+        absl::flat_hash_set<WorkId> seen; ///< What reached this run of the home; for Removed::Tombstone.
+        std::array<PeerView, nodeCount> peers;
+        RetryBudget budget;
+        std::uint64_t nextSequence = 1;
+        std::size_t revision = 0;
+    };
+    /// A request at its ingress.
+    struct Task
+    {
+        std::size_t node;
+        CallerRequest request;
+        TimePoint received; ///< Local time by which the request had not yet been read.
+        AttemptMachine machine;
+        std::size_t home = noNode;
+        LedgerRequest sent;
+        unsigned stream = 0; ///< Replies to earlier streams are dropped.
+        bool queried = false;
+    };
+    using TaskPtr = std::shared_ptr<Task>;
+    struct Event
+    {
+        TimePoint time;
+        std::uint64_t order;
+        std::size_t node;
+        Incarnation incarnation; ///< Zero: whatever run of the node there is.
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return std::tie(this->time, this->order) > std::tie(other.time, other.order);
+        }
+    };
+
+    std::uint64_t pick(std::uint64_t count);
+    bool chance(double share);
+    Duration between(int leastMs, int mostMs);
+    void schedule(TimePoint time, std::size_t node, Incarnation incarnation, std::function<void()> action);
+    void timer(std::size_t node, Duration delay, std::function<void()> action);
+    void message(std::size_t from, std::size_t to, const std::function<void(bool isCopy)> &action, bool duplicate);
+
+    void start(std::size_t node);
+    void heartbeat(std::size_t node);
+    void applyFault(std::size_t number);
+    TimePoint clockOf(std::size_t node) const;
+    TimePoint estimate(std::size_t node, std::size_t home, TimePoint localTime) const;
+
+    void newWork(std::size_t caller);
+    void send(CallerRequest request);
+    void sendAgain(CallerRequest request);
+    void giveUp(const CallerRequest &request);
+    void tellCaller(const CallerRequest &request, const Reply &reply);
+
+    void startTask(std::size_t node, const CallerRequest &request, TimePoint received);
+    void feed(const TaskPtr &task, const AttemptEvent::Any &event, const Reply &reply = {});
+    void perform(const TaskPtr &task, const AttemptAction::Send &action);
+    void perform(const TaskPtr &task, const AttemptAction::QueryOutcome &action);
+    void endTask(const TaskPtr &task, const Reply &reply);
+    std::size_t chooseHome(const Task &task);
+    /// Makes the function by which a home answers the present stream of `task`, over `via` if it is a node.
+    ReplyTo replyTo(const TaskPtr &task, std::size_t home, std::size_t via, bool isQuery);
+
+    void receive(std::size_t home, const LedgerRequest &request, const CallerRequest &content, const ReplyTo &reply);
+    void receiveRepeatable(std::size_t home, const LedgerRequest &request, const CallerRequest &content, const ReplyTo &reply);
+    void receiveQuery(std::size_t home, const LedgerRequest &request, const ReplyTo &reply);
+    void dispatch(std::size_t home, const WorkId &work);
+    void complete(std::size_t home, const WorkId &work);
+    void endExecution(std::size_t home, const WorkId &work, const Reply &reply);
+    void countRun(const CallerRequest &request);
+    LedgerRequest asSeenBy(std::size_t home, LedgerRequest request) const;
+    void check(bool holds, const char *property, const CallerRequest &request);
+
+    std::mt19937_64 random;
+    std::vector<Fault> faults;
+    Removed removed;
+    LedgerLimits limits;
+    TimePoint now = TimePoint(std::chrono::hours(1));
+    std::uint64_t eventOrder = 0;
+    std::priority_queue<Event> events;
+    std::array<Node, nodeCount> nodes;
+    std::array<std::array<TimePoint, nodeCount>, nodeCount> cutUntil{};
+    std::size_t revision = 0;
+    std::vector<Work> works;
+    std::vector<std::uint64_t> waitingFor; ///< For each caller, the serial it waits for.
+    std::uint64_t nextSerial = 1;
+    KeyMint mint;
+    std::string violation;
+};
+
+} // namespace ExecutionModel
--- /dev/null
+++ b/unittests/executionpropertytest.cpp
@@ -0,0 +1,137 @@
+#include "executionmodel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace ExecutionModel;
+
+namespace {
+
+constexpr std::uint64_t stepsPerWorld = 2'500;
+
+std::uint64_t settingOr(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+void print(std::uint64_t longestGapMs, std::uint64_t seed, const Counts &counts)
+{
+    std::cout << '\n'
+              << "seed " << seed << ", up to " << longestGapMs << " ms between faults, " << counts.steps << " steps, " << counts.answered
+              << " answered, " << counts.toldNotRun << " told not run, " << counts.joinedOrRetained << " joined or retained, "
+              << counts.ledgerFull << " times full, " << counts.uncertain << " uncertain outcomes, of these " << counts.resolved
+              << " resolved (" << 100.0 * static_cast<double>(counts.resolved) / static_cast<double>(counts.uncertain) << "%)" << std::endl;
+}
+
+/// Runs worlds with random faults until the steps are used up or a property is violated.
+std::string runWorlds(std::uint64_t seed, std::uint64_t steps, std::uint64_t longestGapMs, Removed removed, Counts &counts)
+{
+    std::mt19937_64 random(seed);
+    std::string violation;
+    while (counts.steps < steps && violation.empty()) {
+        const std::uint64_t worldSeed = random();
+        World world(worldSeed, randomFaults(random, longestGapMs), removed);
+        violation = world.run(std::min(stepsPerWorld, steps - counts.steps));
+        counts += world.counts;
+    }
+    return violation;
+}
+
+rc::Gen<Fault> anyFault()
+{
+    return rc::gen::build<Fault>(
+        rc::gen::set(&Fault::kind, rc::gen::element(Fault::CutOneWay, Fault::Isolate, Fault::Freeze, Fault::Restart, Fault::NewRevision)),
+        rc::gen::set(&Fault::node, rc::gen::inRange<std::size_t>(0, nodeCount)),
+        rc::gen::set(&Fault::other, rc::gen::inRange<std::size_t>(0, nodeCount)),
+        rc::gen::set(&Fault::gapMs, rc::gen::inRange(0, 800)),
+        rc::gen::set(&Fault::durationMs, rc::gen::inRange(0, 5000)));
+}
+
+} // namespace
+
+namespace ExecutionModel {
+
+void showValue(const Fault &fault, std::ostream &out)
+{
+    out << "{" << fault.kind << ", node " << fault.node << ", other " << fault.other << ", after " << fault.gapMs << " ms, for "
+        << fault.durationMs << " ms}";
+}
+
+} // namespace ExecutionModel
+
+class ExecutionPropertyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExecutionPropertyTest);
+    CPPUNIT_TEST(holdsForSeededFaults);
+    CPPUNIT_TEST(holdsForGeneratedFaults);
+    CPPUNIT_TEST(eachProtectionIsNeeded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a sequence of faults after which work runs twice, a "not run" is untrue, or a caller gets a
+    /// response that is not its own. GALENARACK_MODEL_SEED and GALENARACK_MODEL_STEPS make a longer run.
+    void holdsForSeededFaults()
+    {
+        const std::uint64_t seed = settingOr("GALENARACK_MODEL_SEED", 20261204);
+        const std::uint64_t steps = settingOr("GALENARACK_MODEL_STEPS", 1'000'000);
+        Counts total;
+        constexpr std::uint64_t longestGapsMs[] = {300, 1'200, 4'800, 20'000};
+        for (const std::uint64_t longestGapMs : longestGapsMs) {
+            Counts counts;
+            const std::string violation = runWorlds(seed, steps / std::size(longestGapsMs), longestGapMs, Removed::Nothing, counts);
+            print(longestGapMs, seed, counts);
+            CPPUNIT_ASSERT_EQUAL(std::string(), violation);
+            total += counts;
+        }
+        // Each path was taken; otherwise the properties would hold for lack of work.
+        CPPUNIT_ASSERT(total.answered > 0 && total.toldNotRun > 0 && total.resolved > 0);
+        CPPUNIT_ASSERT(total.joinedOrRetained > 0 && total.ledgerFull > 0);
+    }
+
+    /// The same, with faults that RapidCheck reduces to the smallest failing list.
+    void holdsForGeneratedFaults()
+    {
+        Counts counts;
+        const bool holds = rc::check("properties of execution", [&counts] {
+            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+            World world(seed, *rc::gen::container<std::vector<Fault>>(anyFault()), Removed::Nothing);
+            const std::string violation = world.run(stepsPerWorld);
+            counts += world.counts;
+            RC_ASSERT(violation == std::string());
+        });
+        CPPUNIT_ASSERT(holds);
+        CPPUNIT_ASSERT(counts.steps >= 100'000);
+    }
+
+    /// Guards against a model that cannot see a violation: without each protection it has to find one.
+    void eachProtectionIsNeeded()
+    {
+        struct Row
+        {
+            Removed removed;
+            const char *name;
+            const char *violated; ///< Part of the property's text; those about execution contain "run".
+        };
+        const Row rows[] = {
+            {Removed::Tombstone, "tombstone on outcome query", "run"},
+            {Removed::HomeExpiry, "expiry in the home's clock", "run"},
+            {Removed::IncarnationCheck, "incarnation check", "run"},
+            {Removed::KeyBinding, "key binding", "run"},
+            {Removed::UncertaintyRule, "no resend after an uncertain outcome", "run"},
+            {Removed::ReceiptOrder, "order of receipt and refusal", "run"},
+            {Removed::Fingerprint, "fingerprint of a key", "own whole response"},
+        };
+        for (const Row &row : rows) {
+            Counts counts;
+            const std::string violation = runWorlds(20261204, 2'000'000, 1'200, row.removed, counts);
+            std::cout << "\nwithout " << row.name << ": " << violation << ", after " << counts.steps << " steps" << std::flush;
+            CPPUNIT_ASSERT_MESSAGE(row.name, violation.find(row.violated) != std::string::npos);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExecutionPropertyTest);
--- /dev/null
+++ b/unittests/idempotencykeytest.cpp
@@ -0,0 +1,104 @@
+#include <galenarack/execution/idempotencykey.h>
+#include <galenarack/routing/retrybudget.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace Galenarack;
+
+class IdempotencyKeyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IdempotencyKeyTest);
+    CPPUNIT_TEST(rejectsOtherSpellings);
+    CPPUNIT_TEST(mintedKeysRoundTrip);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against one key with two texts, and against a key that the fleet did not issue.
+    void rejectsOtherSpellings()
+    {
+        const char *valid = "gk1.vm-1.00000000000000a1.1234567.0000000000000abc";
+        CPPUNIT_ASSERT_EQUAL(std::string(valid), IdempotencyKey::parse(valid)->toString());
+        for (const char *text : {"",
+                                 "order-4711",
+                                 "gk1.",
+                                 "gk2.vm-1.00000000000000a1.1234567.0000000000000abc",
+                                 "gk1..00000000000000a1.1234567.0000000000000abc",
+                                 "gk1.vm_1.00000000000000a1.1234567.0000000000000abc",
+                                 "gk1.vm-1.0000000000000000.1234567.0000000000000abc",
+                                 "gk1.vm-1.a1.1234567.0000000000000abc",
+                                 "gk1.vm-1.00000000000000A1.1234567.0000000000000abc",
+                                 "gk1.vm-1.00000000000000a1.01234567.0000000000000abc",
+                                 "gk1.vm-1.00000000000000a1.-1.0000000000000abc",
+                                 "gk1.vm-1.00000000000000a1.9223372036854775807.0000000000000abc",
+                                 "gk1.vm-1.00000000000000a1..0000000000000abc",
+                                 "gk1.vm-1.00000000000000a1.1234567.abc",
+                                 "gk1.vm-1.00000000000000a1.1234567.0000000000000abc.",
+                                 "gk1.vm-1.00000000000000a1.1234567.0000000000000abc "}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !IdempotencyKey::parse(text));
+        }
+    }
+
+    /// Guards against a key that its own fleet does not accept, and against two keys that are the same.
+    void mintedKeysRoundTrip()
+    {
+        CPPUNIT_ASSERT(rc::check("minted keys round-trip", [] {
+            KeyMint mint(*rc::gen::arbitrary<std::uint64_t>());
+            const auto vm = *rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::elementOf(std::string("azAZ09-"))));
+            RC_PRE(isKeyVmName(vm));
+            const TimePoint now(Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t(1) << 50)));
+            const Incarnation home{*rc::gen::positive<std::uint64_t>()};
+            const IdempotencyKey key = mint.mint(vm, home, now);
+            RC_ASSERT(IdempotencyKey::parse(key.toString()) == key);
+            RC_ASSERT(key.issued <= now);
+            RC_ASSERT(!(mint.mint(vm, home, now) == key));
+        }));
+    }
+};
+
+class RetryBudgetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryBudgetTest);
+    CPPUNIT_TEST(boundsAddedLoad);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against retries that multiply the load of an overloaded service (section 4.3: 1.1-fold).
+    void boundsAddedLoad()
+    {
+        CPPUNIT_ASSERT(rc::check("retries stay within the budget", [] {
+            RetryBudget budget;
+            unsigned first = 0;
+            unsigned retries = 0;
+            unsigned hedges = 0;
+            unsigned burst = 0;
+            for (const int step : *rc::gen::container<std::vector<int>>(500, rc::gen::inRange(0, 10))) {
+                if (step < 5) {
+                    budget.onFirstAttempt();
+                    ++first;
+                    burst = 0;
+                } else if (step < 8 && budget.tryRetry()) {
+                    ++retries;
+                    ++burst;
+                } else if (budget.tryHedge()) {
+                    ++hedges;
+                }
+                RC_ASSERT(10 * retries <= first + 10);
+                RC_ASSERT(20 * hedges <= first);
+                RC_ASSERT(burst <= 10U);
+            }
+        }));
+        RetryBudget rested;
+        for (int i = 0; i < 10'000; ++i) {
+            rested.onFirstAttempt();
+        }
+        unsigned burst = 0;
+        while (rested.tryRetry()) {
+            ++burst;
+        }
+        CPPUNIT_ASSERT_EQUAL(10U, burst);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IdempotencyKeyTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
