--- /dev/null
+++ b/galenarack/health/floorsystem.cpp
@@ -0,0 +1,182 @@
+#include <galenarack/health/floorsystem.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::seconds;
+
+/// Share of an upstream that only the floor keeps.
+constexpr float insistWeight = 0.25F;
+/// Share of a trial.
+constexpr float trialWeight = 0.05F;
+/// An upstream that is ejected stays so until another is worse by this factor, so that two similar ones do not alternate.
+constexpr float stayEjectedFactor = 1.25F;
+/// Severity of an upstream that the document sets aside: above every judgement.
+constexpr float asideSeverity = 1e6F;
+/// Without news for so long, an ejection turns into a trial; a request to an upstream still ejected is refused as not run.
+constexpr Duration verdictLifetime = seconds(30);
+
+bool isEjectedByHome(const ReportRow &row)
+{
+    return row.report.verdict == HomeVerdict::Ejected || row.report.verdict == HomeVerdict::Trial;
+}
+
+} // namespace
+
+std::uint32_t applyFloor(std::span<FloorEntry> entries, const FloorRule &rule)
+{
+    const auto total = static_cast<std::uint32_t>(entries.size());
+    // The small term keeps 0.7 of 10 at 7 in spite of rounding.
+    const auto byShare = static_cast<std::uint32_t>(std::ceil((std::clamp(rule.share, 0.0, 1.0) * total) - 1e-9));
+    const std::uint32_t floor = std::min(total, std::max(rule.count, byShare));
+    std::uint32_t kept = total;
+    for (FloorEntry &entry : entries) {
+        entry.ejected = false;
+    }
+    while (kept > floor) {
+        FloorEntry *worst = nullptr;
+        for (FloorEntry &entry : entries) {
+            if (!entry.unhealthy || entry.ejected || (worst != nullptr && entry.severity <= worst->severity)) {
+                continue;
+            }
+            const auto keptInDomain = std::count_if(entries.begin(), entries.end(), [&entry](const FloorEntry &other) {
+                return !other.ejected && other.failureDomain == entry.failureDomain;
+            });
+            if (keptInDomain > static_cast<std::ptrdiff_t>(rule.perFailureDomain)) {
+                worst = &entry;
+            }
+        }
+        if (worst == nullptr) {
+            break;
+        }
+        worst->ejected = true;
+        --kept;
+    }
+    return floor;
+}
+
+FloorSystem::FloorSystem(ReportTable &table, const PathTable &paths)
+    : table(table)
+    , paths(paths)
+{
+}
+
+std::span<const StateChange> FloorSystem::tick(TimePoint now)
+{
+    this->changes.clear();
+    for (ServiceReports &service : this->table.services) {
+        this->decide(service, now);
+    }
+    return this->changes;
+}
+
+bool FloorSystem::isReachable(const ReportRow &row) const
+{
+    return !row.gone && (row.peer == noPeer || this->paths.isReachable(row.peer));
+}
+
+bool FloorSystem::isCommonSlowdown(const ServiceReports &service, TimePoint /*now*/) const
+{
+    // Homes compare with a median that is up to a second old. When most upstreams are slow, the median itself is slow, so none
+    // of them is worse than its peers.
+    std::uint32_t reachable = 0;
+    std::uint32_t slow = 0;
+    for (const std::uint32_t index : service.rows) {
+        const ReportRow &row = this->table.rows[index];
+        if (this->isReachable(row) && !row.leaving) {
+            ++reachable;
+            slow += isEjectedByHome(row) && row.report.cause == HealthCause::Latency ? 1 : 0;
+        }
+    }
+    return reachable >= 3 && 2 * slow > reachable;
+}
+
+FloorEntry FloorSystem::entryOf(const ReportRow &row, bool commonSlowdown) const
+{
+    FloorEntry entry;
+    entry.failureDomain = row.failureDomain;
+    const bool judged = isEjectedByHome(row) && row.rule != UpstreamRule::Trust;
+    const bool excused = commonSlowdown && row.report.cause == HealthCause::Latency;
+    entry.unhealthy = row.rule == UpstreamRule::Aside || (judged && !excused);
+    entry.severity = row.rule == UpstreamRule::Aside ? asideSeverity + row.report.severity : row.report.severity;
+    if (row.state == UpstreamState::Ejected) {
+        entry.severity *= stayEjectedFactor;
+    }
+    return entry;
+}
+
+void FloorSystem::decide(ServiceReports &service, TimePoint now)
+{
+    const bool commonSlowdown = this->isCommonSlowdown(service, now);
+    this->entries.clear();
+    this->entryRows.clear();
+    for (const std::uint32_t index : service.rows) {
+        const ReportRow &row = this->table.rows[index];
+        if (row.leaving || row.rule == UpstreamRule::Retire || row.report.verdict == HomeVerdict::Leaving) {
+            this->apply(index, UpstreamState::Leaving, false, now);
+        } else if (!this->isReachable(row)) {
+            this->apply(index, UpstreamState::Unreachable, false, now);
+        } else {
+            this->entries.push_back(this->entryOf(row, commonSlowdown));
+            this->entryRows.push_back(index);
+        }
+    }
+    const std::uint32_t floor = applyFloor(this->entries, service.floor);
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        const ReportRow &row = this->table.rows[this->entryRows[i]];
+        const bool refusedByHome = (isEjectedByHome(row) && row.rule != UpstreamRule::Trust) || row.rule == UpstreamRule::Aside;
+        if (this->entries[i].ejected) {
+            this->apply(this->entryRows[i], UpstreamState::Ejected, false, now);
+        } else if (row.report.verdict == HomeVerdict::Cold) {
+            this->apply(this->entryRows[i], UpstreamState::Cold, refusedByHome, now);
+        } else {
+            this->apply(this->entryRows[i], UpstreamState::Serving, refusedByHome, now);
+        }
+    }
+    this->count(service, floor);
+}
+
+void FloorSystem::apply(std::uint32_t index, UpstreamState state, bool insist, TimePoint now)
+{
+    ReportRow &row = this->table.rows[index];
+    if (row.state != state || row.insist != insist) {
+        const HealthCause cause = row.rule == UpstreamRule::Aside ? HealthCause::Rule : row.report.cause;
+        this->changes.push_back({index, row.state, state, cause, insist});
+    }
+    row.state = state;
+    row.insist = insist;
+    const bool forgotten = row.report.verdict == HomeVerdict::Ejected && now - row.verdictAt >= verdictLifetime;
+    row.trial
+        = state == UpstreamState::Ejected && row.rule != UpstreamRule::Aside && (row.report.verdict == HomeVerdict::Trial || forgotten);
+    const float path = row.peer == noPeer ? 1.0F : this->paths.weight(row.peer);
+    if (insist) {
+        row.weight = insistWeight * path;
+    } else if (row.trial) {
+        row.weight = trialWeight * path;
+    } else {
+        row.weight = row.isKept() ? row.report.weight * path : 0.0F;
+    }
+}
+
+void FloorSystem::count(ServiceReports &service, std::uint32_t floor)
+{
+    StateCounts counts;
+    counts.floor = floor;
+    for (const std::uint32_t index : service.rows) {
+        const ReportRow &row = this->table.rows[index];
+        counts.serving += row.state == UpstreamState::Serving ? 1 : 0;
+        counts.cold += row.state == UpstreamState::Cold ? 1 : 0;
+        counts.leaving += row.state == UpstreamState::Leaving ? 1 : 0;
+        counts.ejected += row.state == UpstreamState::Ejected ? 1 : 0;
+        counts.unreachable += row.state == UpstreamState::Unreachable ? 1 : 0;
+        counts.insisted += row.insist ? 1 : 0;
+    }
+    service.counts = counts;
+    service.atFloor = counts.insisted > 0;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/judgeprofile.cpp
@@ -0,0 +1,41 @@
+#include <galenarack/health/judgeprofile.h>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An upstream at 17.6 requests/s takes 6.3e7 samples in 1,000 hours. One false alarm in that time needs h = ln(6.3e7) = 18,
+// a tenth of that 20.3; the rest is margin for tails heavier than the model's and for the number of classes.
+constexpr JudgeProfile claims = {
+    .threshold = 22.0F,
+    .integrityEvidence = 12.0F,
+    .trialThreshold = 7.0F,
+    .trialSuccesses = 6,
+    .stallFactor = 20.0F,
+    .stallMinimum = milliseconds(500),
+    .stallUnknown = milliseconds(1500),
+    .singleStallGrowth = 1.5F,
+    .latencyConfirmation = milliseconds(1100),
+};
+constexpr JudgeProfile authority = {
+    .threshold = 28.0F,
+    .integrityEvidence = 10.0F,
+    .trialThreshold = 9.0F,
+    .trialSuccesses = 10,
+    .stallFactor = 40.0F,
+    .stallMinimum = milliseconds(1000),
+    .stallUnknown = milliseconds(3000),
+    .singleStallGrowth = 2.0F,
+    .latencyConfirmation = milliseconds(2500),
+};
+
+} // namespace
+
+const JudgeProfile &judgeProfile(TrustProfile profile)
+{
+    return profile == TrustProfile::Claims ? claims : authority;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/judgesystem.cpp
@@ -0,0 +1,273 @@
+#include <galenarack/health/judgesystem.h>
+
+#include <galenarack/health/observesystem.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::seconds;
+
+/// Requests in flight together add at most this part of the threshold to the latency evidence; stalls count separately.
+constexpr float inFlightShare = 0.5F;
+/// Confirmed latency evidence still needs a typical latency of 1.6 times the reference at present.
+constexpr float slowNow = 0.47F;
+/// An episode starts at this part of the threshold and ends at the other.
+constexpr float episodeStart = 0.6F;
+constexpr float episodeEnd = 0.1F;
+/// So many episodes in the window eject, although none of them reached the threshold.
+constexpr std::uint8_t flappingEpisodes = 3;
+constexpr Duration flappingWindow = seconds(60);
+/// Largest exponent of the growing ejection time.
+constexpr std::uint32_t largestDoubling = 10;
+/// An ejection is forgotten after this many times its length of serving.
+constexpr int forgiveFactor = 6;
+/// A trial waits so long for a good probe; then it starts without one, since probes may not work at all.
+constexpr Duration probePatience = seconds(3);
+/// A trial without enough repeatable requests ends well after this time if so many probes succeeded.
+constexpr Duration idleTrial = seconds(30);
+constexpr std::uint32_t idleTrialProbes = 3;
+constexpr Duration shortestTrial = seconds(1);
+
+} // namespace
+
+JudgeSystem::JudgeSystem(UpstreamTable &table)
+    : table(table)
+{
+}
+
+std::span<const VerdictChange> JudgeSystem::tick(TimePoint now)
+{
+    this->changes.clear();
+    this->table.noteTime(now);
+    for (std::uint32_t row = 0; row < this->table.size(); ++row) {
+        const Evidence evidence = this->collect(row, now);
+        this->judge(row, evidence, now);
+    }
+    return this->changes;
+}
+
+JudgeSystem::Evidence JudgeSystem::collect(std::uint32_t row, TimePoint now)
+{
+    Evidence evidence;
+    this->table.pooled[row].windowGain = 0.0F;
+    this->table.failures[row].windowGain = 0.0F;
+    evidence.latency = this->table.pooled[row].evidence;
+    evidence.failure = this->table.failures[row].evidence;
+    for (LatencyClass &latency : this->table.latencies[row]) {
+        latency.windowGain = 0.0F;
+        evidence.latency = std::max(evidence.latency, latency.evidence);
+    }
+    this->addRequestsInFlight(row, now, evidence);
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
+    if (evidence.latency >= profile.threshold) {
+        evidence.latencyConfirmed = this->isLatencyConfirmed(row, now);
+    }
+    return evidence;
+}
+
+void JudgeSystem::addRequestsInFlight(std::uint32_t row, TimePoint now, Evidence &evidence) const
+{
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
+    float slowness = 0.0F;
+    for (const InFlightRequest &request : this->table.inFlight[row]) {
+        const auto age = static_cast<float>(std::max<Duration::rep>(1, (now - request.started).count()));
+        const LatencyClass &latency = this->table.latencies[row][request.routeClass];
+        const auto reference = this->table.reference(row, request.routeClass);
+        float stalledAge = static_cast<float>(profile.stallUnknown.count());
+        if (reference) {
+            const float typical = std::exp(*reference + this->table.coldAllowance(row, now));
+            // The tail covers services whose healthy responses are sometimes far slower than typical ones.
+            const float longest = 2.0F * std::exp(latency.tail);
+            stalledAge = std::max({static_cast<float>(profile.stallMinimum.count()), profile.stallFactor * typical, longest});
+            slowness
+                += std::max(0.0F, ObserveSystem::latencyEvidence(latency, std::log(age), *reference + this->table.coldAllowance(row, now)));
+        }
+        // Half the threshold at the stalled age, all of it at the age for a single request, so that two of them eject at once.
+        if (age >= stalledAge) {
+            const float growth = (age / stalledAge - 1.0F) / (profile.singleStallGrowth - 1.0F);
+            evidence.stall += profile.threshold * (0.5F + (0.5F * std::min(1.0F, growth)));
+        }
+    }
+    evidence.latency += std::min(slowness, inFlightShare * profile.threshold);
+}
+
+bool JudgeSystem::isSlowNow(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const
+{
+    const auto reference = this->table.reference(row, routeClass);
+    const Duration recent = this->table.recentLatency(row, routeClass, now);
+    return reference && recent > Duration(0) && std::log(static_cast<float>(recent.count())) > *reference + slowNow;
+}
+
+bool JudgeSystem::isLatencyConfirmed(std::uint32_t row, TimePoint now)
+{
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
+    auto &classes = this->table.latencies[row];
+    LatencyClass &all = this->table.pooled[row];
+    bool slow = false;
+    TimePoint onset = now;
+    for (std::uint8_t i = 0; i < maxRouteClasses; ++i) {
+        const bool involved = classes[i].evidence > 0.0F || classes[i].lastSample > all.onset;
+        if (!involved) {
+            continue;
+        }
+        if (this->isSlowNow(row, i, now)) {
+            slow = true;
+            onset = std::min(onset, classes[i].evidence > 0.0F ? classes[i].onset : now);
+        } else {
+            // The median has followed, so the slowdown is common to the service.
+            classes[i].evidence = std::min(classes[i].evidence, 0.5F * profile.threshold);
+        }
+    }
+    if (!slow) {
+        all.evidence = std::min(all.evidence, 0.5F * profile.threshold);
+        return false;
+    }
+    if (all.evidence > 0.0F) {
+        onset = std::min(onset, all.onset);
+    }
+    for (const InFlightRequest &request : this->table.inFlight[row]) {
+        onset = std::min(onset, request.started);
+    }
+    return now - onset >= profile.latencyConfirmation;
+}
+
+void JudgeSystem::judge(std::uint32_t row, const Evidence &evidence, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    const float threshold = judgeProfile(this->table.profiles[row]).threshold;
+    judgement.severity = std::max({evidence.latency, evidence.stall, evidence.failure}) / threshold;
+    switch (judgement.verdict) {
+    case HomeVerdict::Serving:
+    case HomeVerdict::Cold:
+        this->judgeWorking(row, evidence, now);
+        break;
+    case HomeVerdict::Ejected:
+        this->judgeEjected(row, now);
+        break;
+    case HomeVerdict::Trial:
+        if (judgement.severity * threshold >= judgeProfile(this->table.profiles[row]).trialThreshold) {
+            this->eject(row, judgement.cause, evidence, now);
+        } else {
+            this->judgeTrial(row, now);
+        }
+        break;
+    case HomeVerdict::Leaving:
+        break;
+    }
+}
+
+void JudgeSystem::judgeWorking(std::uint32_t row, const Evidence &evidence, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    const float threshold = judgeProfile(this->table.profiles[row]).threshold;
+    if (this->table.rules[row] == UpstreamRule::Trust) {
+        judgement.cause = HealthCause::None;
+    }
+    if (judgement.verdict == HomeVerdict::Cold && this->table.isWarm(row, now)) {
+        this->change(row, HomeVerdict::Serving, HealthCause::None, evidence, now);
+    }
+    if (judgement.ejections > 0 && now >= judgement.forgiveAt) {
+        --judgement.ejections;
+        judgement.forgiveAt = now + (forgiveFactor * this->table.ejectionBase);
+    }
+
+    // Episodes that end before they reach the threshold add up.
+    const float worst = std::max(evidence.latency, evidence.failure);
+    if (!judgement.inEpisode && worst >= episodeStart * threshold) {
+        this->countEpisode(judgement, now);
+    } else if (judgement.inEpisode && worst <= episodeEnd * threshold) {
+        judgement.inEpisode = false;
+    }
+
+    if (evidence.failure >= threshold) {
+        this->eject(row, this->table.failures[row].cause, evidence, now);
+    } else if (evidence.stall >= threshold) {
+        this->eject(row, HealthCause::Stall, evidence, now);
+    } else if (evidence.latencyConfirmed) {
+        this->eject(row, HealthCause::Latency, evidence, now);
+    } else if (judgement.episodes >= flappingEpisodes) {
+        this->eject(row, HealthCause::Flapping, evidence, now);
+    }
+}
+
+void JudgeSystem::countEpisode(Judgement &judgement, TimePoint now)
+{
+    judgement.inEpisode = true;
+    if (judgement.episodes == 0 || now - judgement.firstEpisode > flappingWindow) {
+        judgement.episodes = 0;
+        judgement.firstEpisode = now;
+    }
+    ++judgement.episodes;
+}
+
+void JudgeSystem::judgeEjected(std::uint32_t row, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    // Requests under `insist` still give evidence; without any, the upstream keeps the rank of its ejection.
+    judgement.severity = std::max(judgement.severity, 0.1F);
+    if (now < judgement.ejectedUntil) {
+        return;
+    }
+    const ProbeState &probe = this->table.probes[row];
+    const bool probeGood = probe.lastOk && probe.lastResult > judgement.since;
+    const bool probeBad = !probe.lastOk && probe.lastResult > judgement.since;
+    if (probeGood || (!probeBad && now - judgement.ejectedUntil >= probePatience)) {
+        this->clearEvidence(row);
+        this->change(row, HomeVerdict::Trial, judgement.cause, {}, now);
+    }
+}
+
+void JudgeSystem::judgeTrial(std::uint32_t row, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
+    const bool goodByTraffic = judgement.trialGood >= profile.trialSuccesses && now - judgement.since >= shortestTrial;
+    const bool goodByProbes = now - judgement.since >= idleTrial && this->table.probes[row].goodInRow >= idleTrialProbes;
+    if (goodByTraffic || goodByProbes) {
+        judgement.startedCold = false;
+        judgement.forgiveAt = now + (forgiveFactor * (judgement.ejectedUntil - judgement.since + this->table.ejectionBase));
+        this->change(row, HomeVerdict::Cold, HealthCause::None, {}, now);
+    }
+}
+
+void JudgeSystem::eject(std::uint32_t row, HealthCause cause, const Evidence &evidence, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    const std::uint32_t doubling = std::min(judgement.ejections, largestDoubling);
+    const Duration length = std::min(this->table.ejectionMax, this->table.ejectionBase * (1 << doubling));
+    ++judgement.ejections;
+    judgement.ejectedUntil = now + length;
+    judgement.trialGood = 0;
+    judgement.episodes = 0;
+    judgement.inEpisode = false;
+    this->change(row, HomeVerdict::Ejected, cause, evidence, now);
+    this->changes.back().ejectionTime = length;
+}
+
+void JudgeSystem::change(std::uint32_t row, HomeVerdict to, HealthCause cause, const Evidence &evidence, TimePoint now)
+{
+    Judgement &judgement = this->table.judgements[row];
+    this->changes.push_back(
+        {row, judgement.verdict, to, cause, judgement.severity, evidence.latency, evidence.stall, evidence.failure, Duration(0)});
+    judgement.verdict = to;
+    judgement.cause = cause;
+    judgement.since = now;
+    judgement.trialGood = 0;
+}
+
+void JudgeSystem::clearEvidence(std::uint32_t row)
+{
+    for (LatencyClass &latency : this->table.latencies[row]) {
+        latency.evidence = 0.0F;
+        latency.windowGain = 0.0F;
+        latency.recent = latency.mean;
+    }
+    this->table.pooled[row].evidence = 0.0F;
+    this->table.failures[row].evidence = 0.0F;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/judgesystem.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <galenarack/health/upstreamtable.h>
+
+#include <span>
+#include <vector>
+
+namespace Galenarack {
+
+/// A change of verdict, for the audit trail.
+struct VerdictChange
+{
+    std::uint32_t row;
+    HomeVerdict from;
+    HomeVerdict to;
+    HealthCause cause;
+    float severity; ///< Evidence relative to the threshold.
+    float latencyEvidence;
+    float stallEvidence;
+    float failureEvidence;
+    Duration ejectionTime; ///< For an ejection, the time until the trial.
+};
+
+/// Judges each home upstream by the evidence in its row.
+class JudgeSystem
+{
+public:
+    /// @param table outlives the system
+    explicit JudgeSystem(UpstreamTable &table);
+
+    /// Runs once per tick of 100 ms. @return the changes, valid until the next call
+    std::span<const VerdictChange> tick(TimePoint now);
+
+private:
+    /// Evidence against one upstream, each kind in units of a log-likelihood ratio.
+    struct Evidence
+    {
+        float latency = 0.0F;
+        float stall = 0.0F;
+        float failure = 0.0F;
+        bool latencyConfirmed = false;
+    };
+
+    Evidence collect(std::uint32_t row, TimePoint now);
+    void addRequestsInFlight(std::uint32_t row, TimePoint now, Evidence &evidence) const;
+    bool isLatencyConfirmed(std::uint32_t row, TimePoint now);
+    bool isSlowNow(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const;
+    void judge(std::uint32_t row, const Evidence &evidence, TimePoint now);
+    void judgeWorking(std::uint32_t row, const Evidence &evidence, TimePoint now);
+    void judgeEjected(std::uint32_t row, TimePoint now);
+    void judgeTrial(std::uint32_t row, TimePoint now);
+    void countEpisode(Judgement &judgement, TimePoint now);
+    void eject(std::uint32_t row, HealthCause cause, const Evidence &evidence, TimePoint now);
+    void change(std::uint32_t row, HomeVerdict to, HealthCause cause, const Evidence &evidence, TimePoint now);
+    void clearEvidence(std::uint32_t row);
+
+    UpstreamTable &table;
+    std::vector<VerdictChange> changes;
+};
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/observesystem.cpp
@@ -0,0 +1,201 @@
+#include <galenarack/health/observesystem.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The slowdown that the latency test is tuned to: a factor of 3, the smallest for which section 4.4 has a target.
+constexpr float designShift = 1.0986F;
+/// Bounds of the evidence of one response. Real tails are heavier than lognormal, so no single response decides.
+constexpr float sampleCeiling = 5.0F;
+constexpr float sampleFloor = -5.0F;
+/// Bounds of the standard deviation of log latency.
+constexpr float smallestDeviation = 0.3F;
+constexpr float largestDeviation = 1.0F;
+/// Requests that end together often share one cause, such as a collection pause, so one tick adds at most this part of the
+/// threshold.
+constexpr float windowShare = 0.25F;
+/// Evidence stops here, in thresholds, so that an upstream that stays bad under `insist` can recover its rank.
+constexpr float evidenceLimit = 2.0F;
+/// Baselines learn nothing above this part of the threshold, so a fault does not become the past.
+constexpr float learningLimit = 0.3F;
+/// Samples over which baselines average.
+constexpr float baselineSpan = 1000.0F;
+constexpr float failureSpan = 5000.0F;
+/// Weight of one response in the recent average.
+constexpr float recentWeight = 0.3F;
+/// Loss of the latency tail per response.
+constexpr float tailDecay = 1e-4F;
+/// A healthy failure rate lies in these bounds, and a bad one is so many times higher.
+constexpr float smallestFailureRate = 0.002F;
+constexpr float largestFailureRate = 0.02F;
+constexpr float badFailureFactor = 25.0F;
+/// Load shedding cuts the share by this factor, at most once in the interval, down to the floor.
+constexpr float sheddingCut = 0.7F;
+constexpr float sheddingFloor = 0.1F;
+constexpr Duration sheddingInterval = milliseconds(100);
+constexpr Duration longestRetryAfter = seconds(10);
+
+/// Adds to a CUSUM with the limit for one tick.
+template<typename Evidence>
+void accumulate(Evidence &target, float increment, float threshold)
+{
+    const float limit = std::max(windowShare * threshold, increment);
+    const float gain = std::min(target.windowGain + increment, limit) - target.windowGain;
+    target.windowGain += gain;
+    target.evidence = std::clamp(target.evidence + gain, 0.0F, evidenceLimit * threshold);
+}
+
+} // namespace
+
+ObserveSystem::ObserveSystem(UpstreamTable &table)
+    : table(table)
+{
+}
+
+void ObserveSystem::start(std::uint32_t row, std::uint64_t token, std::uint8_t routeClass, TimePoint now)
+{
+    assert(row < this->table.size() && routeClass < maxRouteClasses);
+    this->table.noteTime(now);
+    this->table.inFlight[row].push_back({token, now, routeClass});
+}
+
+void ObserveSystem::finish(std::uint32_t row, std::uint64_t token, SampleOutcome outcome, TimePoint now, Duration retryAfter)
+{
+    assert(row < this->table.size());
+    this->table.noteTime(now);
+    auto &requests = this->table.inFlight[row];
+    const auto found = std::find_if(requests.begin(), requests.end(), [token](const InFlightRequest &request) {
+        return request.token == token;
+    });
+    if (found == requests.end()) {
+        return;
+    }
+    const InFlightRequest request = *found;
+    *found = requests.back();
+    requests.pop_back();
+
+    if (outcome == SampleOutcome::Shed) {
+        this->takeShedding(row, retryAfter, now);
+        return;
+    }
+    const auto age = std::max<Duration::rep>(1, (now - request.started).count());
+    const bool censored = outcome == SampleOutcome::TimedOut || outcome == SampleOutcome::Cancelled;
+    if (outcome == SampleOutcome::Ok || censored) {
+        this->takeLatency(row, request.routeClass, std::log(static_cast<float>(age)), !censored, now);
+    }
+    if (!censored) {
+        this->takeOutcome(row, outcome);
+    }
+}
+
+void ObserveSystem::peerMedian(std::uint32_t row, std::uint8_t routeClass, Duration median, TimePoint now)
+{
+    this->table.noteTime(now);
+    if (median <= Duration(0)) {
+        return;
+    }
+    LatencyClass &latency = this->table.latencies[row][routeClass];
+    const float value = std::log(static_cast<float>(median.count()));
+    // Ingresses have medians of different age; the average keeps one of them from setting the reference.
+    latency.peerMedian = latency.hasPeerMedian ? latency.peerMedian + (0.3F * (value - latency.peerMedian)) : value;
+    latency.hasPeerMedian = true;
+}
+
+float ObserveSystem::latencyEvidence(const LatencyClass &latency, float logLatency, float reference)
+{
+    const float deviation = std::clamp(std::sqrt(latency.variance), smallestDeviation, largestDeviation);
+    const float ratio = (designShift / (deviation * deviation)) * (logLatency - reference - (designShift / 2.0F));
+    return std::clamp(ratio, sampleFloor, sampleCeiling);
+}
+
+void ObserveSystem::takeLatency(std::uint32_t row, std::uint8_t routeClass, float logLatency, bool complete, TimePoint now)
+{
+    LatencyClass &latency = this->table.latencies[row][routeClass];
+    LatencyClass &all = this->table.pooled[row];
+    const float threshold = judgeProfile(this->table.profiles[row]).threshold;
+    if (const auto reference = this->table.reference(row, routeClass)) {
+        float increment = latencyEvidence(latency, logLatency, *reference + this->table.coldAllowance(row, now));
+        // A request that ended early would have taken longer, so it is never evidence for good health.
+        increment = complete ? increment : std::max(0.0F, increment);
+        for (LatencyClass *target : {&latency, &all}) {
+            if (target->evidence <= 0.0F) {
+                target->onset = now;
+            }
+            accumulate(*target, increment, threshold);
+        }
+    }
+    if (!complete) {
+        return;
+    }
+    latency.recent = latency.samples == 0 ? logLatency : latency.recent + (recentWeight * (logLatency - latency.recent));
+    latency.lastSample = now;
+    all.lastSample = now;
+    this->learn(latency, logLatency, std::max(latency.evidence, all.evidence) > learningLimit * threshold);
+}
+
+void ObserveSystem::learn(LatencyClass &latency, float logLatency, bool suspected)
+{
+    if (suspected) {
+        return;
+    }
+    ++latency.samples;
+    const float step = std::max(1.0F / static_cast<float>(latency.samples), 1.0F / baselineSpan);
+    const float limit = 3.0F * std::sqrt(latency.variance);
+    const float residual = latency.samples == 1 ? logLatency : logLatency - latency.mean;
+    const float bounded = latency.samples <= 5 ? residual : std::clamp(residual, -limit, limit);
+    latency.mean += step * bounded;
+    if (latency.samples > 1) {
+        // The variance starts from its default as if that were 10 samples.
+        const float varianceStep = std::max(1.0F / (static_cast<float>(latency.samples) + 10.0F), 1.0F / baselineSpan);
+        latency.variance += varianceStep * ((bounded * bounded) - latency.variance);
+    }
+    latency.tail = std::max(latency.tail + (tailDecay * (latency.mean - latency.tail)), logLatency);
+}
+
+void ObserveSystem::takeOutcome(std::uint32_t row, SampleOutcome outcome)
+{
+    FailureEvidence &failure = this->table.failures[row];
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
+    const float healthy = std::clamp(2.0F * failure.rate, smallestFailureRate, largestFailureRate);
+    const float bad = std::min(0.5F, badFailureFactor * healthy);
+    float increment = std::log((1.0F - bad) / (1.0F - healthy));
+    if (outcome == SampleOutcome::IntegrityError) {
+        increment = profile.integrityEvidence;
+        failure.cause = HealthCause::Integrity;
+    } else if (outcome == SampleOutcome::Failed) {
+        increment = std::log(bad / healthy);
+        failure.cause = HealthCause::Failure;
+    }
+    accumulate(failure, increment, profile.threshold);
+
+    Judgement &judgement = this->table.judgements[row];
+    if (judgement.verdict == HomeVerdict::Trial && outcome == SampleOutcome::Ok) {
+        ++judgement.trialGood;
+    }
+    if (failure.evidence <= learningLimit * profile.threshold) {
+        ++failure.samples;
+        const float step = std::max(1.0F / (static_cast<float>(failure.samples) + 1000.0F), 1.0F / failureSpan);
+        failure.rate += step * ((outcome == SampleOutcome::Ok ? 0.0F : 1.0F) - failure.rate);
+    }
+}
+
+void ObserveSystem::takeShedding(std::uint32_t row, Duration retryAfter, TimePoint now)
+{
+    SheddingState &shed = this->table.shedding[row];
+    if (now - shed.lastCut < sheddingInterval && shed.weight < 1.0F) {
+        return;
+    }
+    shed.weight = std::max(sheddingFloor, sheddingCut * this->table.sheddingShare(row, now));
+    shed.lastCut = now;
+    shed.until = now + std::clamp(retryAfter, Duration(0), longestRetryAfter);
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/pathsystem.cpp
@@ -0,0 +1,107 @@
+#include <galenarack/health/pathsystem.h>
+
+#include <algorithm>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Section 4.9: a connection without a frame for 1.5 s after a PING is dead.
+constexpr Duration silentAge = milliseconds(1500);
+/// A PING unanswered for so long makes the path silent even if frames arrive: the way out may be cut and the way back open.
+constexpr Duration oneWayAge = seconds(4);
+/// A PING this old is overdue; round trips are a few milliseconds.
+constexpr Duration overdueAge = milliseconds(600);
+/// Evidence for a slow path that degrades it, and to which it must fall to be good again.
+constexpr float degradedEvidence = 16.0F;
+constexpr float goodEvidence = 2.0F;
+/// Self-suspicion needs so many paths, and ends so long after the last tick that gave cause.
+constexpr std::size_t fewestPaths = 3;
+constexpr Duration suspicionHold = seconds(3);
+constexpr Duration pauseLimit = milliseconds(300);
+
+bool isJudgement(PathState state)
+{
+    return state == PathState::Degraded || state == PathState::Silent;
+}
+
+} // namespace
+
+PathSystem::PathSystem(PathTable &table)
+    : table(table)
+{
+}
+
+std::span<const PathChange> PathSystem::tick(TimePoint now)
+{
+    this->changes.clear();
+    this->noteTime(now);
+    this->states.clear();
+    for (const PathRow &path : this->table.rows) {
+        this->states.push_back(this->judge(path, now));
+    }
+    this->updateSelfSuspicion(this->states, now);
+    for (std::uint32_t row = 0; row < this->table.rows.size(); ++row) {
+        PathRow &path = this->table.rows[row];
+        const PathState state = this->selfSuspected && isJudgement(this->states[row]) ? PathState::Good : this->states[row];
+        if (state != path.state) {
+            this->changes.push_back({row, path.state, state});
+            path.state = state;
+            path.since = now;
+        }
+    }
+    return this->changes;
+}
+
+void PathSystem::noteTime(TimePoint now)
+{
+    if (this->ticked && now - this->lastTick > pauseLimit) {
+        // This process paused: replies may wait unread in its sockets, so unanswered PINGs age from the resumption.
+        for (PathRow &path : this->table.rows) {
+            if (path.pingSince) {
+                path.pingSince = std::min(now, *path.pingSince + (now - this->lastTick));
+            }
+        }
+    }
+    this->lastTick = now;
+    this->ticked = true;
+}
+
+PathState PathSystem::judge(const PathRow &path, TimePoint now) const
+{
+    if (path.connectFailed) {
+        return PathState::Cut;
+    }
+    if (path.helloUnanswered) {
+        return PathState::Frozen;
+    }
+    // Any frame after the PING shows that the path works; only its reply gives a round trip.
+    if (path.pingSince) {
+        const Duration age = now - std::max(*path.pingSince, path.everHeard ? path.lastHeard : *path.pingSince);
+        if (age >= silentAge || now - *path.pingSince >= oneWayAge) {
+            return PathState::Silent;
+        }
+        if (age >= overdueAge) {
+            return PathState::Degraded;
+        }
+    }
+    const bool wasDegraded = path.state == PathState::Degraded;
+    return path.evidence >= (wasDegraded ? goodEvidence : degradedEvidence) ? PathState::Degraded : PathState::Good;
+}
+
+void PathSystem::updateSelfSuspicion(std::span<const PathState> states, TimePoint now)
+{
+    const auto degraded = static_cast<std::size_t>(std::count_if(states.begin(), states.end(), isJudgement));
+    const bool many = states.size() >= fewestPaths && 2 * degraded > states.size();
+    if (many) {
+        this->lastSuspicious = now;
+        this->selfSuspected = true;
+    } else if (this->selfSuspected && now - this->lastSuspicious >= suspicionHold) {
+        this->selfSuspected = false;
+    }
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/probesystem.cpp
@@ -0,0 +1,82 @@
+#include <galenarack/health/probesystem.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Share of the slot time that probes may use.
+constexpr double slotTimeShare = 0.01;
+/// Unused slot time is kept for so many seconds; this bounds a burst after a quiet time.
+constexpr double budgetSeconds = 5.0;
+/// Probes start shortly before an ejection may end, and then follow at this distance.
+constexpr Duration probeAhead = seconds(2);
+constexpr Duration probeInterval = seconds(1);
+/// Distance for an upstream without traffic; it keeps the probe cost known and is shown to operators.
+constexpr Duration idleInterval = seconds(30);
+constexpr double costWeight = 0.2;
+
+} // namespace
+
+ProbeSystem::ProbeSystem(UpstreamTable &table, std::mt19937_64 random)
+    : table(table)
+    , random(std::move(random))
+{
+}
+
+std::span<const std::uint32_t> ProbeSystem::tick(TimePoint now)
+{
+    this->due.clear();
+    const double elapsed = this->ticked ? std::chrono::duration<double>(now - this->lastTick).count() : 0.0;
+    this->lastTick = now;
+    this->ticked = true;
+    for (std::uint32_t row = 0; row < this->table.size(); ++row) {
+        ProbeState &probe = this->table.probes[row];
+        const double rate = slotTimeShare * this->table.slots[row];
+        probe.budget = std::min(rate * budgetSeconds, probe.budget + (rate * elapsed));
+        if (!probe.outstanding && probe.budget >= probe.cost && this->isDue(row, now)) {
+            probe.budget -= probe.cost;
+            probe.outstanding = true;
+            probe.lastSent = now;
+            this->due.push_back(row);
+        }
+    }
+    return this->due;
+}
+
+bool ProbeSystem::isDue(std::uint32_t row, TimePoint now)
+{
+    const Judgement &judgement = this->table.judgements[row];
+    const ProbeState &probe = this->table.probes[row];
+    const Duration idle = now - probe.lastSent;
+    const bool returning = judgement.verdict == HomeVerdict::Trial
+                           || (judgement.verdict == HomeVerdict::Ejected && now + probeAhead >= judgement.ejectedUntil);
+    if (returning) {
+        return idle >= probeInterval;
+    }
+    if (judgement.verdict == HomeVerdict::Leaving || judgement.verdict == HomeVerdict::Ejected) {
+        return false;
+    }
+    const bool hasTraffic = !this->table.inFlight[row].empty() || now - this->table.pooled[row].lastSample < idleInterval;
+    // The random part keeps the probes of many upstreams from falling on the same tick.
+    return !hasTraffic && idle >= idleInterval + milliseconds(this->random() % 5000);
+}
+
+void ProbeSystem::finish(std::uint32_t row, bool ok, Duration cost, TimePoint now)
+{
+    ProbeState &probe = this->table.probes[row];
+    const double spent = std::chrono::duration<double>(cost).count();
+    probe.budget -= spent - probe.cost;
+    probe.cost += costWeight * (spent - probe.cost);
+    probe.outstanding = false;
+    probe.lastOk = ok;
+    probe.lastResult = now;
+    probe.goodInRow = ok ? probe.goodInRow + 1 : 0;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/reporttable.cpp
@@ -0,0 +1,128 @@
+#include <galenarack/health/reporttable.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace Galenarack {
+
+namespace {
+
+/// Latencies older than this are left out of the median.
+constexpr Duration oldestLatency = std::chrono::seconds(10);
+
+} // namespace
+
+std::string_view upstreamStateName(UpstreamState state)
+{
+    constexpr std::array<std::string_view, 5> names = {"serving", "cold", "leaving", "ejected", "unreachable"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+void ReportTable::configure(const Document &document, TimePoint now)
+{
+    ReportTable next;
+    next.failureDomains = this->failureDomains;
+    for (const ServiceRow &service : document.services) {
+        next.services.emplace_back();
+        next.services.back().name = service.name;
+        next.services.back().floor = service.floor;
+    }
+    for (const UpstreamRow &upstream : document.upstreams) {
+        ReportRow row;
+        if (const auto old = this->find(upstream.name)) {
+            row = this->rows[*old];
+        } else {
+            row.verdictAt = now;
+        }
+        row.peer = row.vm == upstream.vm ? row.peer : noPeer;
+        row.name = upstream.name;
+        row.vm = upstream.vm;
+        row.service = upstream.service;
+        row.failureDomain = next.failureDomainIndex(upstream.failureDomain);
+        row.rule = upstream.rule;
+        row.slots = upstream.slots;
+        next.services[upstream.service].rows.push_back(static_cast<std::uint32_t>(next.rows.size()));
+        next.rows.push_back(std::move(row));
+    }
+    *this = std::move(next);
+}
+
+std::uint32_t ReportTable::failureDomainIndex(std::string_view name)
+{
+    const auto found = std::find(this->failureDomains.begin(), this->failureDomains.end(), name);
+    if (found != this->failureDomains.end()) {
+        return static_cast<std::uint32_t>(found - this->failureDomains.begin());
+    }
+    this->failureDomains.emplace_back(name);
+    return static_cast<std::uint32_t>(this->failureDomains.size() - 1);
+}
+
+std::optional<std::uint32_t> ReportTable::find(std::string_view name) const
+{
+    const auto found = std::find_if(this->rows.begin(), this->rows.end(), [name](const ReportRow &row) {
+        return row.name == name;
+    });
+    if (found == this->rows.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->rows.begin());
+}
+
+void ReportTable::report(std::uint32_t index, const UpstreamReport &report, TimePoint now)
+{
+    ReportRow &row = this->rows[index];
+    row.report = report;
+    row.reported = true;
+    row.reportedAt = now;
+    row.verdictAt = now;
+    row.sentSince = 0;
+    if (report.latency > Duration(0) && report.routeClass < maxRouteClasses) {
+        row.latency[report.routeClass] = std::log(static_cast<float>(report.latency.count()));
+        row.latencyAt[report.routeClass] = now;
+    }
+}
+
+void ReportTable::gossip(std::uint32_t index, HomeVerdict verdict, HealthCause cause, float severity, TimePoint now)
+{
+    ReportRow &row = this->rows[index];
+    row.report.verdict = verdict;
+    row.report.cause = cause;
+    row.report.severity = severity;
+    row.verdictAt = now;
+}
+
+void ReportTable::setMembership(std::string_view vm, bool leaving, bool gone)
+{
+    for (ReportRow &row : this->rows) {
+        if (row.vm == vm) {
+            row.leaving = leaving;
+            row.gone = gone;
+        }
+    }
+}
+
+Duration ReportTable::medianLatency(std::uint32_t service, std::uint8_t routeClass, TimePoint now) const
+{
+    this->scratch.clear();
+    for (const std::uint32_t index : this->services[service].rows) {
+        const ReportRow &row = this->rows[index];
+        const bool known = row.latency[routeClass] > 0.0F && now - row.latencyAt[routeClass] <= oldestLatency;
+        if (known && row.isKept() && !row.insist) {
+            this->scratch.push_back(row.latency[routeClass]);
+        }
+    }
+    if (this->scratch.size() < 2) {
+        return Duration(0);
+    }
+    const auto middle = this->scratch.begin() + static_cast<std::ptrdiff_t>(this->scratch.size() / 2);
+    std::nth_element(this->scratch.begin(), middle, this->scratch.end());
+    float median = *middle;
+    if (this->scratch.size() % 2 == 0) {
+        median = (median + *std::max_element(this->scratch.begin(), middle)) / 2.0F;
+    }
+    return Duration(static_cast<Duration::rep>(std::exp(median)));
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/upstreamreport.cpp
@@ -0,0 +1,45 @@
+#include <galenarack/health/upstreamreport.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Galenarack {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> verdictNames = {"serving", "cold", "trial", "ejected", "leaving"};
+constexpr std::array<std::string_view, 7> causeNames = {"none", "latency", "stall", "failure", "integrity", "flapping", "rule"};
+
+template<typename Enumeration, std::size_t Size>
+std::optional<Enumeration> fromName(const std::array<std::string_view, Size> &names, std::string_view name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    if (found == names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<Enumeration>(found - names.begin());
+}
+
+} // namespace
+
+std::string_view verdictName(HomeVerdict verdict)
+{
+    return verdictNames.at(static_cast<std::size_t>(verdict));
+}
+
+std::optional<HomeVerdict> verdictFromName(std::string_view name)
+{
+    return fromName<HomeVerdict>(verdictNames, name);
+}
+
+std::string_view causeName(HealthCause cause)
+{
+    return causeNames.at(static_cast<std::size_t>(cause));
+}
+
+std::optional<HealthCause> causeFromName(std::string_view name)
+{
+    return fromName<HealthCause>(causeNames, name);
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/health/upstreamtable.cpp
@@ -0,0 +1,236 @@
+#include <galenarack/health/upstreamtable.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace Galenarack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Responses after which the own past is a reference.
+constexpr std::uint32_t minimumPast = 20;
+/// Length of slow start and the share it begins with.
+constexpr Duration slowStart = seconds(10);
+constexpr float slowStartShare = 0.1F;
+/// Log of the factor by which an upstream may be slower when it has just started.
+constexpr float coldSlowdown = 1.3F;
+/// Share in a trial.
+constexpr float trialShare = 0.05F;
+/// Recovery of the share after load shedding, per second.
+constexpr float sheddingRecovery = 0.1F;
+/// The systems tick every 100 ms; a larger gap is a pause of this process.
+constexpr Duration pauseLimit = milliseconds(300);
+
+float toSeconds(Duration duration)
+{
+    return std::chrono::duration<float>(duration).count();
+}
+
+} // namespace
+
+std::uint32_t UpstreamTable::add(std::string_view name, std::uint32_t slotCount, TrustProfile profile, UpstreamRule rule, TimePoint now)
+{
+    assert(slotCount > 0);
+    this->names.emplace_back(name);
+    this->slots.push_back(slotCount);
+    this->profiles.push_back(profile);
+    this->rules.push_back(rule);
+    this->judgements.emplace_back();
+    this->judgements.back().since = now;
+    this->latencies.emplace_back();
+    this->pooled.emplace_back();
+    this->failures.emplace_back();
+    this->inFlight.emplace_back();
+    this->inFlight.back().reserve(slotCount + 2);
+    this->probes.emplace_back();
+    this->probes.back().lastSent = now;
+    this->shedding.emplace_back();
+    return this->size() - 1;
+}
+
+void UpstreamTable::moveRow(UpstreamTable &from, std::uint32_t row)
+{
+    this->judgements.back() = from.judgements[row];
+    this->latencies.back() = from.latencies[row];
+    this->pooled.back() = from.pooled[row];
+    this->failures.back() = from.failures[row];
+    this->inFlight.back() = std::move(from.inFlight[row]);
+    this->probes.back() = from.probes[row];
+    this->shedding.back() = from.shedding[row];
+}
+
+void UpstreamTable::configure(const Document &document, std::string_view vm, TimePoint now)
+{
+    UpstreamTable next;
+    next.ejectionBase = document.timings.ejectionBase;
+    next.ejectionMax = document.timings.ejectionMax;
+    next.lastSeen = this->lastSeen;
+    next.seen = this->seen;
+    for (const UpstreamRow &upstream : document.upstreams) {
+        if (upstream.vm != vm) {
+            continue;
+        }
+        next.add(upstream.name, upstream.slots, document.services[upstream.service].profile, upstream.rule, now);
+        if (const auto row = this->find(upstream.name)) {
+            next.moveRow(*this, *row);
+        }
+        if (upstream.rule == UpstreamRule::Retire) {
+            next.markLeaving(next.size() - 1, now);
+        }
+    }
+    *this = std::move(next);
+}
+
+std::optional<std::uint32_t> UpstreamTable::find(std::string_view name) const
+{
+    const auto found = std::find(this->names.begin(), this->names.end(), name);
+    if (found == this->names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(found - this->names.begin());
+}
+
+void UpstreamTable::markLeaving(std::uint32_t row, TimePoint now)
+{
+    Judgement &judgement = this->judgements[row];
+    if (judgement.verdict != HomeVerdict::Leaving) {
+        judgement.verdict = HomeVerdict::Leaving;
+        judgement.cause = HealthCause::None;
+        judgement.since = now;
+    }
+}
+
+void UpstreamTable::markCold(std::uint32_t row, TimePoint now)
+{
+    Judgement &judgement = this->judgements[row];
+    this->latencies[row] = {};
+    this->pooled[row] = {};
+    judgement.startedCold = true;
+    // A restart does not end an ejection; otherwise an upstream that crashes and restarts returns at once each time.
+    if (judgement.verdict == HomeVerdict::Serving || judgement.verdict == HomeVerdict::Leaving) {
+        judgement.verdict = HomeVerdict::Cold;
+        judgement.since = now;
+    }
+}
+
+void UpstreamTable::noteTime(TimePoint now)
+{
+    if (this->seen && now - this->lastSeen > pauseLimit) {
+        const Duration pause = now - this->lastSeen;
+        for (auto &requests : this->inFlight) {
+            for (InFlightRequest &request : requests) {
+                request.started += pause;
+            }
+        }
+    }
+    this->lastSeen = std::max(this->lastSeen, now);
+    this->seen = true;
+}
+
+std::optional<float> UpstreamTable::reference(std::uint32_t row, std::uint8_t routeClass) const
+{
+    const LatencyClass &latency = this->latencies[row][routeClass];
+    const bool hasPast = latency.samples >= minimumPast;
+    if (hasPast && latency.hasPeerMedian) {
+        return std::max(latency.mean, latency.peerMedian);
+    }
+    if (hasPast) {
+        return latency.mean;
+    }
+    if (latency.hasPeerMedian) {
+        return latency.peerMedian;
+    }
+    return std::nullopt;
+}
+
+Duration UpstreamTable::recentLatency(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const
+{
+    const LatencyClass &latency = this->latencies[row][routeClass];
+    // A request older than the average is a response at least that slow, so the report does not lag behind a slowdown.
+    float recent = latency.recent;
+    for (const InFlightRequest &request : this->inFlight[row]) {
+        const auto age = static_cast<float>((now - request.started).count());
+        if (request.routeClass == routeClass && age > 1.0F && std::log(age) > recent) {
+            recent += 0.3F * (std::log(age) - recent);
+        }
+    }
+    return latency.samples == 0 ? Duration(0) : Duration(static_cast<Duration::rep>(std::exp(recent)));
+}
+
+std::uint8_t UpstreamTable::latestClass(std::uint32_t row) const
+{
+    const auto &classes = this->latencies[row];
+    const auto latest = std::max_element(classes.begin(), classes.end(), [](const LatencyClass &a, const LatencyClass &b) {
+        return a.lastSample < b.lastSample;
+    });
+    return static_cast<std::uint8_t>(latest - classes.begin());
+}
+
+bool UpstreamTable::isWarm(std::uint32_t row, TimePoint now) const
+{
+    return now - this->judgements[row].since >= slowStart;
+}
+
+float UpstreamTable::sheddingShare(std::uint32_t row, TimePoint now) const
+{
+    const SheddingState &shed = this->shedding[row];
+    return now <= shed.until ? shed.weight : std::min(1.0F, shed.weight + (sheddingRecovery * toSeconds(now - shed.until)));
+}
+
+float UpstreamTable::coldAllowance(std::uint32_t row, TimePoint now) const
+{
+    const Judgement &judgement = this->judgements[row];
+    if (judgement.verdict != HomeVerdict::Cold || !judgement.startedCold) {
+        return 0.0F;
+    }
+    return coldSlowdown * std::clamp(1.0F - (toSeconds(now - judgement.since) / toSeconds(slowStart)), 0.0F, 1.0F);
+}
+
+float UpstreamTable::weight(std::uint32_t row, TimePoint now) const
+{
+    const Judgement &judgement = this->judgements[row];
+    const float share = this->sheddingShare(row, now);
+    if (judgement.verdict == HomeVerdict::Cold) {
+        const float progress = std::clamp(toSeconds(now - judgement.since) / toSeconds(slowStart), 0.0F, 1.0F);
+        return share * (slowStartShare + ((1.0F - slowStartShare) * progress));
+    }
+    return judgement.verdict == HomeVerdict::Trial ? share * trialShare : share;
+}
+
+UpstreamReport UpstreamTable::report(std::uint32_t row, std::uint8_t routeClass, std::uint32_t queued, TimePoint now) const
+{
+    const Judgement &judgement = this->judgements[row];
+    UpstreamReport result;
+    result.verdict = judgement.verdict;
+    result.cause = judgement.cause;
+    result.severity = judgement.severity;
+    result.weight = this->weight(row, now);
+    result.inFlight = static_cast<std::uint32_t>(this->inFlight[row].size());
+    result.queued = queued;
+    result.slots = this->slots[row];
+    result.routeClass = routeClass;
+    result.latency = this->recentLatency(row, routeClass, now);
+    return result;
+}
+
+bool UpstreamTable::admits(std::uint32_t row, bool repeatable, bool insist) const
+{
+    const HomeVerdict verdict = this->judgements[row].verdict;
+    if (verdict == HomeVerdict::Leaving || this->rules[row] == UpstreamRule::Retire) {
+        return false;
+    }
+    if (insist || this->rules[row] == UpstreamRule::Trust) {
+        return true;
+    }
+    if (verdict == HomeVerdict::Ejected || this->rules[row] == UpstreamRule::Aside) {
+        return false;
+    }
+    return verdict != HomeVerdict::Trial || (repeatable && this->inFlight[row].empty());
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/routing/accountlimiter.cpp
@@ -0,0 +1,74 @@
+#include <galenarack/routing/accountlimiter.h>
+
+#include <galenarack/core/errorkind.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Galenarack {
+
+namespace {
+
+/// Length of full rate that an account may use at once after a quiet time.
+constexpr double burstSeconds = 1.0;
+
+} // namespace
+
+void AccountLimiter::fill(Row &row, TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - row.filledAt).count();
+    row.tokens = std::min(row.burst, row.tokens + (std::max(0.0, elapsed) * row.ratePerSecond));
+    row.filledAt = std::max(row.filledAt, now);
+}
+
+absl::Status AccountLimiter::admit(const AccountRow &account, TimePoint now)
+{
+    auto entry = this->rows.find(std::string_view(account.name));
+    const double burst = std::max(1.0, account.ratePerSecond * burstSeconds);
+    if (entry == this->rows.end()) {
+        entry = this->rows.emplace(account.name, Row{0, burst, burst, account.ratePerSecond, now}).first;
+    }
+    Row &row = entry->second;
+    fill(row, now);
+    // The document may have changed the rate.
+    row.burst = burst;
+    row.ratePerSecond = account.ratePerSecond;
+    if (account.maxInFlight > 0 && row.inFlight >= account.maxInFlight) {
+        return makeError(ErrorKind::AccountLimited,
+                         "account " + account.name + " has " + std::to_string(row.inFlight) + " requests in flight, the limit is "
+                             + std::to_string(account.maxInFlight));
+    }
+    if (account.ratePerSecond > 0.0 && row.tokens < 1.0) {
+        return makeError(ErrorKind::AccountLimited,
+                         "account " + account.name + " is above " + std::to_string(account.ratePerSecond) + " requests a second");
+    }
+    if (account.ratePerSecond > 0.0) {
+        row.tokens -= 1.0;
+    }
+    ++row.inFlight;
+    return absl::OkStatus();
+}
+
+void AccountLimiter::finish(std::string_view account)
+{
+    const auto entry = this->rows.find(account);
+    assert(entry != this->rows.end() && entry->second.inFlight > 0);
+    --entry->second.inFlight;
+}
+
+void AccountLimiter::tick(TimePoint now)
+{
+    for (auto entry = this->rows.begin(); entry != this->rows.end();) {
+        fill(entry->second, now);
+        const bool rateRecovered = entry->second.ratePerSecond <= 0.0 || entry->second.tokens >= entry->second.burst;
+        entry = entry->second.inFlight == 0 && rateRecovered ? this->rows.erase(entry) : std::next(entry);
+    }
+}
+
+std::uint32_t AccountLimiter::inFlight(std::string_view account) const
+{
+    const auto entry = this->rows.find(account);
+    return entry == this->rows.end() ? 0 : entry->second.inFlight;
+}
+
+} // namespace Galenarack
