--- /dev/null
+++ b/galenarack/membership/gossipsystem.cpp
@@ -0,0 +1,551 @@
+#include <galenarack/membership/gossipsystem.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Galenarack {
+
+namespace {
+
+constexpr unsigned doubtfulEvery = 4; ///< Periods between two probes of nodes that are gone or were never reached.
+constexpr std::size_t maxRelays = 64; ///< Probes made for other nodes at the same time.
+constexpr unsigned sendsPerDoubling = 3; ///< How often news is sent per doubling of the fleet (SWIM's lambda).
+constexpr unsigned syncFastAttempts = 10; ///< Unanswered requests after which a transfer goes on at the probe rate.
+
+} // namespace
+
+GossipSystem::GossipSystem(MemberTable &table, std::string fleet, MemberUpdate self, GossipSettings settings, std::mt19937_64 random)
+    : table(table)
+    , fleet(std::move(fleet))
+    , self(std::move(self))
+    , settings(settings)
+    , random(random)
+    , sequence(static_cast<std::uint32_t>(this->random()))
+    , fillAfter(this->self.name)
+{
+}
+
+std::vector<GossipDelivery> GossipSystem::tick(TimePoint now)
+{
+    std::vector<GossipDelivery> out;
+    if (!this->lastTick) {
+        // A random phase spreads the probes of nodes that start together.
+        const auto phase = this->random() % static_cast<std::uint64_t>(this->settings.probePeriod.count());
+        this->nextProbe = now + Duration(phase);
+    }
+    this->notePause(now);
+    this->lastTick = now;
+    this->endPendingProbes(now, out);
+    this->endSuspicions(now);
+    if (now >= this->nextProbe) {
+        this->nextProbe = std::max(this->nextProbe + this->settings.probePeriod, now);
+        this->startProbes(now, out);
+        this->table.removeExpired(now);
+    }
+    this->requestSync(now, out);
+    return out;
+}
+
+std::vector<GossipDelivery> GossipSystem::receive(const GossipMessage &message, TimePoint now)
+{
+    std::vector<GossipDelivery> out;
+    this->notePause(now);
+    if (message.sender.name == this->self.name) {
+        this->refute(message.sender);
+        return out;
+    }
+    const bool isBehind = this->merge(message.sender, true, now);
+    this->unreached.erase(message.sender.name);
+    for (const MemberUpdate &update : message.updates) {
+        this->merge(update, false, now);
+    }
+    switch (message.kind) {
+    case GossipKind::Probe:
+        this->answerProbe(message, isBehind, out);
+        break;
+    case GossipKind::IndirectProbe:
+        this->answerIndirectProbe(message, now, out);
+        break;
+    case GossipKind::Acknowledge:
+        this->takeAcknowledgement(message, now, out);
+        break;
+    }
+    return out;
+}
+
+std::vector<GossipDelivery> GossipSystem::applyVmList(std::span<const VmEntry> list, TimePoint now)
+{
+    const auto isUntold = [](const MemberRow *row) {
+        return row != nullptr && row->listLeaving && !row->gossipLeaving && row->incarnation.value != 0;
+    };
+    std::set<std::string, std::less<>> told;
+    for (const auto &[name, row] : this->table.all()) {
+        if (isUntold(&row)) {
+            told.insert(name);
+        }
+    }
+    this->table.applyVmList(list, now);
+
+    std::vector<GossipDelivery> out;
+    for (const VmEntry &entry : list) {
+        const MemberRow *row = this->table.find(entry.name);
+        if (!isUntold(row) || told.contains(entry.name)) {
+            continue;
+        }
+        if (entry.name == this->self.name) {
+            this->setLeaving();
+            continue;
+        }
+        this->enqueue(entry.name);
+        this->sendProbe(*row, now, out);
+    }
+    return out;
+}
+
+void GossipSystem::heardOnConnection(std::string_view name, Incarnation incarnation, std::uint64_t revision, TimePoint now)
+{
+    if (this->table.heardOnConnection(name, incarnation, revision, now)) {
+        this->enqueue(std::string(name));
+    }
+}
+
+void GossipSystem::setRevision(std::uint64_t revision)
+{
+    this->self.revision = revision;
+    this->selfChanged();
+}
+
+void GossipSystem::setMarks(std::vector<UpstreamMark> marks)
+{
+    marks = fittingMarks(std::move(marks));
+    if (marks == this->self.marks) {
+        return;
+    }
+    this->self.marks = std::move(marks);
+    ++this->self.counter;
+    this->selfChanged();
+}
+
+void GossipSystem::setLeaving()
+{
+    this->self.leaving = true;
+    this->selfChanged();
+}
+
+Duration GossipSystem::suspicionTime() const
+{
+    const double doublings = std::log2(static_cast<double>(this->presentMembers()));
+    return this->settings.suspicionBase
+           + std::chrono::duration_cast<Duration>(doublings * std::chrono::duration<double>(this->settings.suspicionPerDoubling));
+}
+
+void GossipSystem::notePause(TimePoint now)
+{
+    if (!this->lastTick || now - *this->lastTick <= this->settings.pauseLimit) {
+        return;
+    }
+    // Whatever was not answered during the pause says nothing about the others.
+    this->lastTick = now;
+    this->distrustFrom = now;
+    this->pending.clear();
+    this->relays.clear();
+    this->table.restartSuspicions(now);
+    this->sync = Sync();
+}
+
+void GossipSystem::endPendingProbes(TimePoint now, std::vector<GossipDelivery> &out)
+{
+    for (auto item = this->pending.begin(); item != this->pending.end();) {
+        PendingProbe &probe = item->second;
+        const Duration age = now - probe.sentAt;
+        if (age >= this->settings.probePeriod) {
+            const MemberRow *row = this->table.find(probe.target);
+            if (row != nullptr && row->incarnation.value == 0) {
+                this->unreached.insert(probe.target);
+            } else if (!this->distrustFrom && this->table.suspect(probe.target, now)) {
+                this->ownSuspicions.insert(probe.target);
+                this->enqueue(probe.target);
+            }
+            item = this->pending.erase(item);
+            continue;
+        }
+        if (age >= this->settings.directTimeout && !probe.indirect) {
+            probe.indirect = true;
+            this->sendIndirect(item->first, probe, out);
+        }
+        ++item;
+    }
+    std::erase_if(this->relays, [now](const auto &relay) {
+        return now >= relay.second.expiry;
+    });
+}
+
+void GossipSystem::endSuspicions(TimePoint now)
+{
+    if (this->distrustFrom) {
+        return;
+    }
+    for (const std::string &name : this->table.endSuspicions(this->suspicionTime(), now)) {
+        this->enqueue(name);
+    }
+    std::erase_if(this->ownSuspicions, [this](const std::string &name) {
+        const MemberRow *row = this->table.find(name);
+        return row == nullptr || !row->suspectedSince;
+    });
+}
+
+void GossipSystem::trustAgain(TimePoint now)
+{
+    this->distrustFrom.reset();
+    this->table.restartSuspicions(now);
+}
+
+void GossipSystem::startProbes(TimePoint now, std::vector<GossipDelivery> &out)
+{
+    ++this->period;
+    if (const MemberRow *target = this->nextProbeTarget()) {
+        this->sendProbe(*target, now, out);
+    }
+    if (const MemberRow *target = this->nextDoubtfulTarget()) {
+        this->sendProbe(*target, now, out);
+    }
+}
+
+void GossipSystem::requestSync(TimePoint now, std::vector<GossipDelivery> &out)
+{
+    if (!this->sync.active || now < this->sync.nextRequest) {
+        return;
+    }
+    std::vector<const MemberRow *> heard;
+    std::vector<const MemberRow *> others;
+    for (const auto &[name, row] : this->table.all()) {
+        if (name != this->self.name && !row.goneSince) {
+            (row.incarnation.value != 0 ? heard : others).push_back(&row);
+        }
+    }
+    const MemberRow *target = this->pickRow(heard.empty() ? others : heard);
+    const bool isSlow = this->sync.attempts >= syncFastAttempts;
+    this->sync.nextRequest = now + (isSlow ? this->settings.probePeriod : this->settings.syncPeriod);
+    if (target == nullptr) {
+        return;
+    }
+    ++this->sync.attempts;
+    this->sync.sequence = this->nextSequence();
+    GossipMessage message = this->makeMessage(GossipKind::Probe, this->sync.sequence);
+    message.syncAfter = this->sync.after;
+    this->appendBelief(message, *target);
+    out.push_back(this->deliver(std::move(message), target->address));
+}
+
+void GossipSystem::sendProbe(const MemberRow &target, TimePoint now, std::vector<GossipDelivery> &out)
+{
+    const std::uint32_t number = this->nextSequence();
+    this->pending[number] = PendingProbe{target.name, now};
+    GossipMessage message = this->makeMessage(GossipKind::Probe, number);
+    this->appendBelief(message, target);
+    out.push_back(this->deliver(std::move(message), target.address));
+}
+
+void GossipSystem::sendIndirect(std::uint32_t number, const PendingProbe &probe, std::vector<GossipDelivery> &out)
+{
+    const MemberRow *target = this->table.find(probe.target);
+    // A node that is gone or was never heard is not worth the messages of third nodes.
+    if (target == nullptr || target->goneSince || target->incarnation.value == 0) {
+        return;
+    }
+    std::vector<const MemberRow *> thirds;
+    for (const auto &[name, row] : this->table.all()) {
+        const bool isUsable = row.incarnation.value != 0 && !row.goneSince && !row.suspectedSince;
+        if (isUsable && name != this->self.name && name != probe.target) {
+            thirds.push_back(&row);
+        }
+    }
+    for (unsigned i = 0; i < this->settings.indirectProbes && !thirds.empty(); ++i) {
+        const std::size_t index = this->random() % thirds.size();
+        const MemberRow *third = std::exchange(thirds[index], thirds.back());
+        thirds.pop_back();
+        GossipMessage message = this->makeMessage(GossipKind::IndirectProbe, number);
+        message.target = probe.target;
+        // The third node passes a suspicion on to the target, which can refute it in its acknowledgement.
+        this->appendBelief(message, *target);
+        this->appendBelief(message, *third);
+        out.push_back(this->deliver(std::move(message), third->address));
+    }
+}
+
+void GossipSystem::answerProbe(const GossipMessage &message, bool isBehind, std::vector<GossipDelivery> &out)
+{
+    GossipMessage answer = this->makeMessage(GossipKind::Acknowledge, message.sequence);
+    const MemberRow *sender = this->table.find(message.sender.name);
+    if (sender == nullptr) {
+        return;
+    }
+    std::size_t bytes = encodedBound(answer);
+    if (isBehind) {
+        this->append(answer, *sender, bytes);
+    } else {
+        this->appendBelief(answer, *sender);
+    }
+    if (message.syncAfter) {
+        this->appendSync(answer, *message.syncAfter);
+        out.push_back(GossipDelivery{message.sender.address, std::move(answer)});
+        return;
+    }
+    out.push_back(this->deliver(std::move(answer), message.sender.address));
+}
+
+void GossipSystem::answerIndirectProbe(const GossipMessage &message, TimePoint now, std::vector<GossipDelivery> &out)
+{
+    const MemberRow *target = this->table.find(message.target);
+    if (target == nullptr || message.target == this->self.name || this->relays.size() >= maxRelays) {
+        return;
+    }
+    const std::uint32_t number = this->nextSequence();
+    const TimePoint expiry = now + this->settings.probePeriod;
+    this->relays[number] = Relay{message.sender.address, message.sequence, message.target, expiry};
+    GossipMessage probe = this->makeMessage(GossipKind::Probe, number);
+    this->appendBelief(probe, *target);
+    out.push_back(this->deliver(std::move(probe), target->address));
+}
+
+void GossipSystem::takeAcknowledgement(const GossipMessage &message, TimePoint now, std::vector<GossipDelivery> &out)
+{
+    if (const auto relay = this->relays.find(message.sequence);
+        relay != this->relays.end() && relay->second.target == message.sender.name) {
+        GossipMessage answer = this->makeMessage(GossipKind::Acknowledge, relay->second.originSequence);
+        answer.target = relay->second.target;
+        std::size_t bytes = encodedBound(answer);
+        if (const MemberRow *row = this->table.find(answer.target)) {
+            this->append(answer, *row, bytes);
+        }
+        out.push_back(this->deliver(std::move(answer), relay->second.origin));
+        this->relays.erase(relay);
+        return;
+    }
+    const std::string &acknowledged = message.target.empty() ? message.sender.name : message.target;
+    const auto probe = this->pending.find(message.sequence);
+    const bool isOwnProbe = probe != this->pending.end() && probe->second.target == acknowledged;
+    if (isOwnProbe) {
+        this->pending.erase(probe);
+    }
+    const bool isSync = this->sync.active && message.sequence == this->sync.sequence;
+    // Only an acknowledgement of a probe made after the pause counts: the socket may hold messages from before it.
+    if ((isOwnProbe || isSync) && this->distrustFrom) {
+        this->trustAgain(now);
+    }
+    if (!isSync) {
+        return;
+    }
+    this->sync.attempts = 0;
+    this->sync.after = message.syncAfter.value_or(std::string());
+    if (message.syncAfter) {
+        return;
+    }
+    // The end of a pass. Another one is worth it while members are unknown, as when a whole fleet starts.
+    ++this->sync.passes;
+    const bool hasUnknown = std::ranges::any_of(this->table.all(), [this](const auto &item) {
+        return item.second.incarnation.value == 0 && !this->unreached.contains(item.first);
+    });
+    this->sync.active = hasUnknown && this->sync.passes < this->settings.syncPasses;
+    this->sync.nextRequest = now + this->settings.probePeriod * this->sync.passes;
+}
+
+bool GossipSystem::merge(const MemberUpdate &update, bool firstHand, TimePoint now)
+{
+    if (update.name == this->self.name) {
+        this->refute(update);
+        return false;
+    }
+    const MergeResult result = this->table.applyUpdate(update, firstHand, now);
+    if (result.news) {
+        this->enqueue(update.name);
+    }
+    return result.behind;
+}
+
+void GossipSystem::refute(const MemberUpdate &update)
+{
+    const bool isOwnRun = update.incarnation == this->self.incarnation;
+    const bool isWrong = !isOwnRun || update.state != GossipState::Live;
+    const bool isAbove = update.counter > this->self.counter || (isWrong && update.counter == this->self.counter);
+    const bool isNewlyLeaving = isOwnRun && update.leaving && !this->self.leaving;
+    if (isAbove && update.counter < std::numeric_limits<std::uint32_t>::max()) {
+        this->self.counter = update.counter + 1;
+    }
+    this->self.leaving = this->self.leaving || isNewlyLeaving;
+    if (isAbove || isNewlyLeaving) {
+        this->selfChanged();
+    }
+}
+
+void GossipSystem::selfChanged()
+{
+    this->table.setSelf(this->self);
+}
+
+void GossipSystem::enqueue(const std::string &name)
+{
+    const double doublings = std::ceil(std::log2(static_cast<double>(this->table.all().size() + 1)));
+    this->news[name] = sendsPerDoubling * static_cast<unsigned>(doublings);
+}
+
+GossipMessage GossipSystem::makeMessage(GossipKind kind, std::uint32_t number) const
+{
+    GossipMessage message;
+    message.fleet = this->fleet;
+    message.kind = kind;
+    message.sequence = number;
+    message.sender = this->self;
+    return message;
+}
+
+GossipDelivery GossipSystem::deliver(GossipMessage message, const std::string &address)
+{
+    std::size_t bytes = encodedBound(message);
+    this->appendNews(message, bytes);
+    this->appendFill(message, bytes);
+    return GossipDelivery{address, std::move(message)};
+}
+
+bool GossipSystem::append(GossipMessage &message, const MemberRow &row, std::size_t &bytes) const
+{
+    if (row.incarnation.value == 0 || row.name == this->self.name) {
+        return true;
+    }
+    if (std::ranges::find(message.updates, row.name, &MemberUpdate::name) != message.updates.end()) {
+        return true;
+    }
+    MemberUpdate update = MemberTable::toUpdate(row);
+    const std::size_t updateBytes = encodedBound(update);
+    if (bytes + updateBytes > maxGossipBytes) {
+        return false;
+    }
+    bytes += updateBytes;
+    message.updates.push_back(std::move(update));
+    return true;
+}
+
+void GossipSystem::appendBelief(GossipMessage &message, const MemberRow &receiver) const
+{
+    const bool isLeavingUntold = receiver.listLeaving && !receiver.gossipLeaving;
+    if (receiver.suspectedSince || receiver.goneSince || isLeavingUntold) {
+        std::size_t bytes = encodedBound(message);
+        this->append(message, receiver, bytes);
+    }
+}
+
+void GossipSystem::appendNews(GossipMessage &message, std::size_t &bytes)
+{
+    // The least sent first, so that every item gets out before any is repeated.
+    using Item = std::pair<unsigned, std::string_view>;
+    std::vector<Item> items;
+    items.reserve(this->news.size());
+    for (const auto &[name, sends] : this->news) {
+        items.emplace_back(sends, name);
+    }
+    const std::size_t count = std::min<std::size_t>(items.size(), this->settings.maxUpdates);
+    std::ranges::partial_sort(items, items.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::greater(), &Item::first);
+    items.resize(count);
+    for (const auto &[sends, name] : items) {
+        const MemberRow *row = this->table.find(name);
+        const auto item = this->news.find(name);
+        const bool isSent = row == nullptr || this->append(message, *row, bytes);
+        if (row == nullptr || (isSent && --item->second == 0)) {
+            this->news.erase(item);
+        }
+        if (!isSent || message.updates.size() >= this->settings.maxUpdates) {
+            return;
+        }
+    }
+}
+
+void GossipSystem::appendFill(GossipMessage &message, std::size_t &bytes)
+{
+    const auto &rows = this->table.all();
+    const std::size_t wanted = std::min(message.updates.size() + this->settings.fillUpdates, std::size_t(this->settings.maxUpdates));
+    for (std::size_t i = 0; i < rows.size() && message.updates.size() < wanted; ++i) {
+        auto next = rows.upper_bound(this->fillAfter);
+        if (next == rows.end()) {
+            next = rows.begin();
+        }
+        if (!this->append(message, next->second, bytes)) {
+            return;
+        }
+        this->fillAfter = next->first;
+    }
+}
+
+void GossipSystem::appendSync(GossipMessage &message, const std::string &after) const
+{
+    std::size_t bytes = encodedBound(message);
+    const auto &rows = this->table.all();
+    std::string last = after;
+    for (auto row = rows.upper_bound(after); row != rows.end(); ++row) {
+        if (!this->append(message, row->second, bytes)) {
+            message.syncAfter = last;
+            return;
+        }
+        last = row->first;
+    }
+}
+
+const MemberRow *GossipSystem::nextProbeTarget()
+{
+    for (int pass = 0; pass < 2; ++pass) {
+        while (!this->probeOrder.empty()) {
+            const MemberRow *row = this->table.find(this->probeOrder.back());
+            this->probeOrder.pop_back();
+            if (row != nullptr && this->isReachableCandidate(*row)) {
+                return row;
+            }
+        }
+        for (const auto &[name, row] : this->table.all()) {
+            if (this->isReachableCandidate(row)) {
+                this->probeOrder.push_back(name);
+            }
+        }
+        std::ranges::shuffle(this->probeOrder, this->random);
+    }
+    return nullptr;
+}
+
+const MemberRow *GossipSystem::nextDoubtfulTarget()
+{
+    std::vector<const MemberRow *> rows;
+    for (const std::string &name : this->ownSuspicions) {
+        rows.push_back(this->table.find(name));
+    }
+    if (rows.empty() && this->period % doubtfulEvery == 0) {
+        for (const auto &[name, row] : this->table.all()) {
+            if (row.goneSince || this->unreached.contains(name)) {
+                rows.push_back(&row);
+            }
+        }
+    }
+    return this->pickRow(rows);
+}
+
+const MemberRow *GossipSystem::pickRow(const std::vector<const MemberRow *> &rows)
+{
+    return rows.empty() ? nullptr : rows[this->random() % rows.size()];
+}
+
+bool GossipSystem::isReachableCandidate(const MemberRow &row) const
+{
+    return row.name != this->self.name && !row.goneSince && !this->unreached.contains(row.name);
+}
+
+std::uint32_t GossipSystem::nextSequence()
+{
+    return ++this->sequence;
+}
+
+std::size_t GossipSystem::presentMembers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->table.all(), [](const auto &item) {
+        return item.second.incarnation.value != 0 && !item.second.goneSince;
+    }));
+}
+
+} // namespace Galenarack
