--- a/standins/configservice/main.cpp
+++ b/standins/configservice/main.cpp
@@ -1,11 +1,11 @@
 #include "configservice.h"
 
-#include <boost/asio/signal_set.hpp>
+#include <standins/common/program.h>
+
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <exception>
-#include <iostream>
+#include <optional>
 
 DEFINE_string(listen, "127.0.0.1:0", "address for readers, IPv4:port");
 DEFINE_string(control, "127.0.0.1:0", "address of the control port, IPv4:port");
@@ -17,26 +17,18 @@
     using namespace Galenarack::StandIns;
     gflags::SetUsageMessage("stand-in for the configuration service with VM list");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try {
-        boost::asio::io_context context(1);
-        ConfigService service(context, {parseEndpoint(FLAGS_listen), parseEndpoint(FLAGS_control), FLAGS_max_calls_per_s});
+    boost::asio::io_context context(1);
+    std::optional<ConfigService> service;
+    runProgram("standin-configservice", context, [&] {
+        service.emplace(context, ConfigService::Settings{parseEndpoint(FLAGS_listen), parseEndpoint(FLAGS_control), FLAGS_max_calls_per_s});
         if (!FLAGS_values_folder.empty()) {
-            service.store().load(FLAGS_values_folder);
+            service->store().load(FLAGS_values_folder);
         }
-        service.start();
-        boost::asio::signal_set signals(context, SIGINT, SIGTERM);
-        signals.async_wait([&context](const boost::system::error_code &, int) {
-            context.stop();
-        });
+        service->start();
         const nlohmann::json addresses = {
-            {"listen", endpointText(service.readerAddress())},
-            {"control", endpointText(service.controlAddress())},
+            {"listen", endpointText(service->readerAddress())},
+            {"control", endpointText(service->controlAddress())},
         };
         announce(addresses.dump());
-        context.run();
-    } catch (const std::exception &error) {
-        std::cerr << "standin-configservice: " << error.what() << '\n';
-        return 1;
-    }
-    return 0;
+    });
 }
