Add parser, checker, acceptance, revision gate and service readers

Change: document/ parses sections through the events of yaml-cpp, checks them together and attributes each error to the section whose change causes it; config/ holds manifest, section cache, acceptance, gate, start rule, and readers of the service. Route, account, service and upstream lookups use hashes in place of std::map and linear searches. Ruled out: a finding in the section where the error shows; a removed service would then hold back the team that uses it.

--- /dev/null
+++ b/galenarack/config/keywatch.cpp
@@ -0,0 +1,177 @@
+#include <galenarack/config/keywatch.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Galenarack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned httpOk = 200;
+constexpr unsigned httpNotModified = 304;
+constexpr unsigned httpNotFound = 404;
+
+/// A watch that ends sooner than this without a new value is a fault of the service; the next one is held back like a retry,
+/// or else a node would call without a pause.
+constexpr Duration shortestWatch = std::chrono::milliseconds(200);
+
+/// Doublings after which the pause no longer grows, whatever the settings.
+constexpr unsigned maxDoublings = 16;
+
+bool isPlain(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '~';
+}
+
+/// Percent-encoding for a query value (RFC 3986 section 2.1).
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        if (isPlain(c)) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += digits[byte >> 4U];
+        encoded += digits[byte & 15U];
+    }
+    return encoded;
+}
+
+} // namespace
+
+KeyWatch::KeyWatch(asio::any_io_executor executor, const ServiceSettings &settings, std::string key, std::uint64_t seed)
+    : settings(settings)
+    , key(std::move(key))
+    , random(seed)
+    , client(executor, settings)
+    , timer(executor)
+{
+}
+
+void KeyWatch::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->client.close();
+}
+
+ReaderCounters KeyWatch::counters() const
+{
+    ReaderCounters counters = this->count;
+    counters.calls = this->client.callCount();
+    return counters;
+}
+
+asio::awaitable<void> KeyWatch::pause(Duration time)
+{
+    if (this->stopped) {
+        co_return;
+    }
+    this->timer.expires_after(time);
+    co_await this->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> KeyWatch::pauseUpTo(Duration most)
+{
+    std::uniform_int_distribution<Duration::rep> distribution(0, most.count());
+    co_await this->pause(Duration(distribution(this->random)));
+}
+
+Duration KeyWatch::backoff()
+{
+    const unsigned doublings = std::min(this->failuresInRow, maxDoublings);
+    ++this->failuresInRow;
+    const Duration most = std::min(this->settings.retryMin * (Duration::rep{1} << doublings), this->settings.retryMax);
+    std::uniform_int_distribution<Duration::rep> distribution(most.count() / 2, most.count());
+    return Duration(distribution(this->random));
+}
+
+std::string KeyWatch::target(Duration wait) const
+{
+    const std::string path = "/v1/values/" + this->key;
+    if (this->etag.empty()) {
+        return path;
+    }
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+    return path + "?after=" + percentEncoded(this->etag) + "&wait=" + std::to_string(seconds);
+}
+
+asio::awaitable<void> KeyWatch::run(Handler handler, ReplyCallback replied)
+{
+    co_await this->pauseUpTo(this->settings.startJitter);
+    while (!this->stopped) {
+        co_await this->step(handler, replied);
+    }
+}
+
+asio::awaitable<void> KeyWatch::step(const Handler &handler, const ReplyCallback &replied)
+{
+    // An unfinished value is tried again after a pause; the pause is spent in a short watch, so that a newer value ends it.
+    Duration wait(0);
+    if (!this->etag.empty()) {
+        std::uniform_int_distribution<Duration::rep> distribution(this->settings.watchWait.count() * 4 / 5,
+                                                                  this->settings.watchWait.count());
+        wait = this->isValuePending ? this->backoff() : Duration(distribution(this->random));
+    }
+    const TimePoint start = NodeClock::now();
+    ++this->count.watches;
+    absl::StatusOr<ServiceReply> reply = co_await this->client.get(this->target(wait), wait);
+    if (this->stopped) {
+        co_return;
+    }
+    const bool isUsable
+        = reply.ok()
+          && (reply->status == httpOk || reply->status == httpNotFound || (reply->status == httpNotModified && !this->etag.empty()));
+    replied(isUsable);
+    const bool isChange = isUsable && reply->status == httpOk && (this->etag.empty() || reply->etag != this->etag);
+    if (isChange) {
+        co_await this->takeReply(handler, std::move(*reply));
+        co_return;
+    }
+    if (!isUsable) {
+        ++this->count.failures;
+        co_await this->pause(this->backoff());
+        co_return;
+    }
+    this->count.notModified += reply->status == httpNotModified ? 1 : 0;
+    if (this->isValuePending) {
+        co_await this->handOver(handler);
+    } else if (reply->status == httpNotModified) {
+        this->failuresInRow = 0;
+    }
+    if (reply->status != httpNotModified || NodeClock::now() - start < shortestWatch) {
+        co_await this->pause(this->backoff());
+    }
+}
+
+asio::awaitable<void> KeyWatch::takeReply(const Handler &handler, ServiceReply reply)
+{
+    this->failuresInRow = 0;
+    this->etag = reply.etag;
+    this->value = std::move(reply.body);
+    co_await this->handOver(handler);
+    if (this->etag.empty()) {
+        // Without an ETag there is nothing to watch for, so the value is read again after a pause.
+        co_await this->pause(this->settings.retryMax);
+    }
+}
+
+asio::awaitable<void> KeyWatch::handOver(const Handler &handler)
+{
+    const bool isDone = co_await handler(this->value);
+    this->isValuePending = !isDone;
+    if (isDone) {
+        this->failuresInRow = 0;
+    }
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/config/serviceclient.cpp
@@ -0,0 +1,130 @@
+#include <galenarack/config/serviceclient.h>
+
+#include <galenarack/core/errorkind.h>
+#include <galenarack/document/documentparser.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Galenarack {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+
+absl::Status unreachable(std::string_view what, const beast::error_code &error)
+{
+    return makeError(ErrorKind::PeerUnreachable, "configuration service: " + std::string(what) + ": " + error.message());
+}
+
+std::string withoutQuotes(std::string_view etag)
+{
+    std::string text(etag);
+    std::erase(text, '"');
+    return text;
+}
+
+} // namespace
+
+ServiceClient::ServiceClient(asio::any_io_executor executor, const ServiceSettings &settings)
+    : executor(std::move(executor))
+    , settings(settings)
+{
+}
+
+void ServiceClient::close()
+{
+    this->isClosed = true;
+    if (this->stream) {
+        this->stream->cancel();
+        beast::error_code ignored;
+        this->stream->socket().close(ignored);
+    }
+}
+
+asio::awaitable<absl::Status> ServiceClient::connect()
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(this->settings.host, error);
+    if (error) {
+        co_return makeError(ErrorKind::SettingInvalid, "configuration service: '" + this->settings.host + "' is not an IP address");
+    }
+    this->buffer.clear();
+    this->stream.emplace(this->executor);
+    this->stream->expires_after(this->settings.connectTimeout);
+    const asio::ip::tcp::endpoint endpoint(address, this->settings.port);
+    const auto [connectError] = co_await this->stream->async_connect(endpoint, asTuple);
+    if (connectError) {
+        this->stream.reset();
+        co_return unreachable("connect", connectError);
+    }
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::StatusOr<ServiceReply>> ServiceClient::exchange(const std::string &target, Duration wait)
+{
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, this->settings.host);
+    this->stream->expires_after(wait + this->settings.replyTimeout);
+    const auto [writeError, written] = co_await http::async_write(*this->stream, request, asTuple);
+    if (writeError) {
+        co_return unreachable("write", writeError);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxSectionBytes);
+    parser.header_limit(maxHeaderBytes);
+    const auto [readError, read] = co_await http::async_read(*this->stream, this->buffer, parser, asTuple);
+    if (readError) {
+        co_return unreachable("read", readError);
+    }
+    ServiceReply reply;
+    reply.status = parser.get().result_int();
+    reply.etag = withoutQuotes(parser.get()[http::field::etag]);
+    reply.body = std::move(parser.get().body());
+    if (!parser.get().keep_alive()) {
+        this->stream.reset();
+    }
+    co_return reply;
+}
+
+asio::awaitable<absl::StatusOr<ServiceReply>> ServiceClient::get(std::string target, Duration wait)
+{
+    if (this->isClosed) {
+        co_return makeError(ErrorKind::Cancelled, "configuration service: the reader is stopped");
+    }
+    ++this->calls;
+    // The service may have closed an idle connection in the meantime, so a failure on an old one is tried again on a new one.
+    // A time-out is not: the service holds the call, and a second one would only add load.
+    const bool isReused = this->stream.has_value();
+    const auto start = NodeClock::now();
+    if (!isReused) {
+        const absl::Status connected = co_await this->connect();
+        if (!connected.ok()) {
+            co_return connected;
+        }
+    }
+    absl::StatusOr<ServiceReply> reply = co_await this->exchange(target, wait);
+    if (!reply.ok() && isReused && !this->isClosed && NodeClock::now() - start < this->settings.connectTimeout) {
+        ++this->calls;
+        const absl::Status connected = co_await this->connect();
+        if (!connected.ok()) {
+            co_return connected;
+        }
+        reply = co_await this->exchange(target, wait);
+    }
+    if (!reply.ok()) {
+        this->stream.reset();
+    }
+    co_return reply;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/config/startrule.cpp
@@ -0,0 +1,91 @@
+#include <galenarack/config/startrule.h>
+
+#include <algorithm>
+
+namespace Galenarack {
+
+std::string_view startDecisionText(StartDecision decision)
+{
+    switch (decision) {
+    case StartDecision::Serve:
+        return "may serve";
+    case StartDecision::WaitForService:
+        return "waits for a reply of the configuration service";
+    case StartDecision::WaitForFailureDomain:
+        return "waits for the peers of a failure domain";
+    case StartDecision::WaitForPeer:
+        return "waits for the reply of a peer";
+    case StartDecision::WaitForDocument:
+        return "has no document in force";
+    case StartDecision::WaitForRevision:
+        return "waits for a higher revision that it heard of";
+    }
+    return {};
+}
+
+void StartRule::serviceReplied(bool replied)
+{
+    this->service = replied ? Reply::Replied : Reply::Failed;
+}
+
+void StartRule::setOtherLiveVms(std::size_t otherLiveVms)
+{
+    this->knowsVms = true;
+    this->otherLiveVms = otherLiveVms;
+}
+
+void StartRule::peerAsked(std::string_view peer, std::string_view failureDomain)
+{
+    this->peers.try_emplace(std::string(peer), Peer{std::string(failureDomain), Reply::Waiting});
+}
+
+void StartRule::peerReplied(std::string_view peer)
+{
+    this->peers[std::string(peer)].reply = Reply::Replied;
+}
+
+void StartRule::peerFailed(std::string_view peer)
+{
+    this->peers[std::string(peer)].reply = Reply::Failed;
+}
+
+bool StartRule::hasPeerReply() const
+{
+    return std::ranges::any_of(this->peers, [](const auto &entry) {
+        return entry.second.reply == Reply::Replied;
+    });
+}
+
+bool StartRule::areFailureDomainsAsked() const
+{
+    // A failure domain is settled when one of its peers replied or all of them failed.
+    std::map<std::string_view, bool> isReplied;
+    std::map<std::string_view, bool> isWaiting;
+    for (const auto &[name, peer] : this->peers) {
+        isReplied[peer.failureDomain] |= peer.reply == Reply::Replied;
+        isWaiting[peer.failureDomain] |= peer.reply == Reply::Waiting;
+    }
+    return std::ranges::all_of(isWaiting, [&isReplied](const auto &entry) {
+        return !entry.second || isReplied[entry.first];
+    });
+}
+
+StartDecision StartRule::decide(const RevisionGate &gate, TimePoint now) const
+{
+    if (this->service == Reply::Waiting) {
+        return StartDecision::WaitForService;
+    }
+    if (!this->areFailureDomainsAsked()) {
+        return StartDecision::WaitForFailureDomain;
+    }
+    const bool isAlone = this->service == Reply::Replied && this->knowsVms && this->otherLiveVms == 0;
+    if (!isAlone && !this->hasPeerReply()) {
+        return StartDecision::WaitForPeer;
+    }
+    if (gate.document() == nullptr) {
+        return StartDecision::WaitForDocument;
+    }
+    return gate.revision() < gate.highestHeard(now) ? StartDecision::WaitForRevision : StartDecision::Serve;
+}
+
+} // namespace Galenarack
--- a/galenarack/document/accounttable.cpp
+++ b/galenarack/document/accounttable.cpp
@@ -7,6 +7,7 @@
 AccountTable::AccountTable(std::vector<AccountRow> rows)
     : rows(std::move(rows))
 {
+    this->byName.reserve(this->rows.size());
     for (std::uint32_t i = 0; i < this->rows.size(); ++i) {
         this->byName.emplace(this->rows[i].name, i);
     }
--- a/galenarack/document/accounttable.h
+++ b/galenarack/document/accounttable.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include <galenarack/document/nameindex.h>
+
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,7 +36,7 @@
 
 private:
     std::vector<AccountRow> rows;
-    std::map<std::string, std::uint32_t, std::less<>> byName;
+    NameIndex byName;
 };
 
 } // namespace Galenarack
--- a/galenarack/document/document.h
+++ b/galenarack/document/document.h
@@ -2,10 +2,12 @@
 
 #include <galenarack/core/clock.h>
 #include <galenarack/document/accounttable.h>
+#include <galenarack/document/nameindex.h>
 #include <galenarack/document/routetable.h>
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,6 +80,7 @@
 };
 
 /// An accepted document: immutable tables with their indexes. A request holds one from start to end.
+/// DocumentChecker::build() returns it indexed; code that fills in the tables itself calls buildIndexes().
 struct Document
 {
     std::string fleet;
@@ -90,6 +93,10 @@
     AccountTable accounts;
     Timings timings;
 
+    /// Builds the indexes behind the lookups below. Call again after a change of services or upstreams;
+    /// until then the lookups search the tables from the start.
+    void buildIndexes();
+
     /// @return the index of the service, or nothing
     std::optional<std::uint32_t> findService(std::string_view name) const;
 
@@ -98,6 +105,18 @@
 
     /// @return indexes of the upstreams of a service, in document order
     std::vector<std::uint32_t> upstreamsOfService(std::uint32_t service) const;
+
+    /// As upstreamsOfService() without an allocation. Needs buildIndexes().
+    std::span<const std::uint32_t> upstreamSpan(std::uint32_t service) const;
+
+private:
+    /// @return whether the indexes match the tables in size
+    bool isIndexed() const;
+
+    NameIndex serviceIndex;
+    NameIndex upstreamIndex;
+    std::vector<std::uint32_t> upstreamsByService; ///< Indexes of upstreams, grouped by service.
+    std::vector<std::uint32_t> firstOfService; ///< Position in upstreamsByService; one entry more than services.
 };
 
 } // namespace Galenarack
--- /dev/null
+++ b/galenarack/document/finding.cpp
@@ -0,0 +1,48 @@
+#include <galenarack/document/finding.h>
+
+#include <algorithm>
+
+namespace Galenarack {
+
+namespace {
+/// A section may hold a value of up to 1 MB; an error line must stay readable.
+constexpr std::size_t maxValueBytes = 80;
+} // namespace
+
+std::string shortened(std::string_view value)
+{
+    if (value.size() <= maxValueBytes) {
+        return std::string(value);
+    }
+    return std::string(value.substr(0, maxValueBytes)) + "...";
+}
+
+std::string Finding::toString() const
+{
+    std::string text = "section " + this->section;
+    text += " (owner " + (this->owner.empty() ? std::string("unknown") : this->owner) + ")";
+    if (this->line > 0) {
+        text += " line " + std::to_string(this->line);
+    }
+    text += ": ";
+    if (!this->field.empty()) {
+        text += this->field + ": ";
+    }
+    text += this->problem;
+    if (!this->value.empty()) {
+        text += ": '" + this->value + "'";
+    }
+    if (!this->allowed.empty()) {
+        text += "; allowed: " + this->allowed;
+    }
+    return text;
+}
+
+void sortFindings(std::vector<Finding> &findings)
+{
+    std::ranges::sort(findings);
+    const auto repeated = std::ranges::unique(findings);
+    findings.erase(repeated.begin(), repeated.end());
+}
+
+} // namespace Galenarack
--- a/galenarack/document/routetable.h
+++ b/galenarack/document/routetable.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/document/nameindex.h>
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,7 +29,7 @@
     bool allows(std::string_view method) const;
 };
 
-/// Routes with longest-prefix lookup by whole path segments.
+/// Routes with longest-prefix lookup by whole path segments. Several routes may share a prefix with different methods.
 class RouteTable
 {
 public:
@@ -37,9 +37,13 @@
     explicit RouteTable(std::vector<RouteRow> rows);
 
     /// @param path path of the request target, without the query
-    /// @return the route with the longest prefix that matches, or null
+    /// @return the first route with the longest prefix that matches, or null
     const RouteRow *find(std::string_view path) const;
 
+    /// @return the route with the longest prefix that matches and that allows the method; when none of that prefix does,
+    ///     the first one, so that the caller sees allows() fail; null when no prefix matches
+    const RouteRow *find(std::string_view path, std::string_view method) const;
+
     /// @return all routes in document order
     const std::vector<RouteRow> &all() const
     {
@@ -47,8 +51,20 @@
     }
 
 private:
+    /// Rows with the same prefix, as a range of `order`.
+    struct PrefixEntry
+    {
+        std::uint32_t first = 0;
+        std::uint32_t count = 0;
+    };
+
+    /// @return the entry of the longest prefix that matches, or null
+    const PrefixEntry *findPrefix(std::string_view path) const;
+
     std::vector<RouteRow> rows;
-    std::map<std::string, std::uint32_t, std::less<>> byPrefix;
+    std::vector<std::uint32_t> order; ///< Indexes of rows, sorted by prefix and then by document order.
+    NameMap<PrefixEntry> byPrefix;
+    std::vector<bool> hasLength; ///< Whether some prefix has this length; spares most of the hashing.
 };
 
 } // namespace Galenarack
