Join the parts: one report type, distinct names for VM list entries

Change: membership's entry is ListedVm; the peer protocol carries the health report in header fields and in heartbeats.

--- a/galenarack/membership/gossipsystem.cpp
+++ b/galenarack/membership/gossipsystem.cpp
@@ -74,7 +74,7 @@
     return out;
 }
 
-std::vector<GossipDelivery> GossipSystem::applyVmList(std::span<const VmEntry> list, TimePoint now)
+std::vector<GossipDelivery> GossipSystem::applyVmList(std::span<const ListedVm> list, TimePoint now)
 {
     const auto isUntold = [](const MemberRow *row) {
         return row != nullptr && row->listLeaving && !row->gossipLeaving && row->incarnation.value != 0;
@@ -88,7 +88,7 @@
     this->table.applyVmList(list, now);
 
     std::vector<GossipDelivery> out;
-    for (const VmEntry &entry : list) {
+    for (const ListedVm &entry : list) {
         const MemberRow *row = this->table.find(entry.name);
         if (!isUntold(row) || told.contains(entry.name)) {
             continue;
--- a/galenarack/membership/gossipsystem.h
+++ b/galenarack/membership/gossipsystem.h
@@ -60,7 +60,7 @@
     std::vector<GossipDelivery> receive(const GossipMessage &message, TimePoint now);
 
     /// Merges a VM list; a node that it newly marks as leaving is told directly.
-    std::vector<GossipDelivery> applyVmList(std::span<const VmEntry> list, TimePoint now);
+    std::vector<GossipDelivery> applyVmList(std::span<const ListedVm> list, TimePoint now);
 
     /// Notes a frame from a node on a connection (MemberTable::heardOnConnection).
     void heardOnConnection(std::string_view name, Incarnation incarnation, std::uint64_t revision, TimePoint now);
--- a/galenarack/membership/membertable.cpp
+++ b/galenarack/membership/membertable.cpp
@@ -57,7 +57,7 @@
     this->setSelf(self);
 }
 
-void MemberTable::applyVmList(std::span<const VmEntry> list, TimePoint now)
+void MemberTable::applyVmList(std::span<const ListedVm> list, TimePoint now)
 {
     if (list.empty()) {
         return;
@@ -65,7 +65,7 @@
     for (auto &[name, row] : this->rows) {
         row.listed = false;
     }
-    for (const VmEntry &entry : list) {
+    for (const ListedVm &entry : list) {
         // A malformed value would make receivers drop the whole datagram that passes the row on.
         const bool isValid = isGossipName(entry.name) && isGossipName(entry.failureDomain) && isGossipAddress(entry.address);
         MemberRow *row = isValid ? this->findOrAdd(entry.name) : nullptr;
--- a/galenarack/membership/membertable.h
+++ b/galenarack/membership/membertable.h
@@ -25,7 +25,7 @@
 std::string_view memberStateName(MemberState state);
 
 /// One VM of the lagging VM list.
-struct VmEntry
+struct ListedVm
 {
     std::string name;
     std::string address;
@@ -93,7 +93,7 @@
     explicit MemberTable(const MemberUpdate &self);
 
     /// Merges a VM list. An empty list is ignored: a fleet without VMs has no node to read it.
-    void applyVmList(std::span<const VmEntry> list, TimePoint now);
+    void applyVmList(std::span<const ListedVm> list, TimePoint now);
 
     /// Merges a gossip update about another node.
     /// @param firstHand the update comes from the node it is about
--- a/galenarack/peer/peercontrol.cpp
+++ b/galenarack/peer/peercontrol.cpp
@@ -4,36 +4,101 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace Galenarack {
 
 namespace {
 
-nlohmann::json toJson(const UpstreamReport &report)
+nlohmann::json toJson(const NamedUpstreamReport &named)
 {
-    return {{"name", report.upstream},
-            {"state", report.state},
+    const UpstreamReport &report = named.report;
+    return {{"name", named.upstream},
+            {"verdict", verdictName(report.verdict)},
+            {"cause", causeName(report.cause)},
             {"severity", report.severity},
+            {"weight", report.weight},
             {"in_flight", report.inFlight},
             {"queued", report.queued},
             {"slots", report.slots},
-            {"latency_us", report.latencyUs}};
+            {"route_class", report.routeClass},
+            {"latency_us", report.latency.count()}};
 }
 
-UpstreamReport upstreamFromJson(const nlohmann::json &json)
+NamedUpstreamReport upstreamFromJson(const nlohmann::json &json)
 {
-    UpstreamReport report;
-    json.at("name").get_to(report.upstream);
-    json.at("state").get_to(report.state);
+    NamedUpstreamReport named;
+    UpstreamReport &report = named.report;
+    json.at("name").get_to(named.upstream);
+    report.verdict = verdictFromName(json.at("verdict").get<std::string>()).value_or(HomeVerdict::Serving);
+    report.cause = causeFromName(json.at("cause").get<std::string>()).value_or(HealthCause::None);
     json.at("severity").get_to(report.severity);
+    json.at("weight").get_to(report.weight);
     json.at("in_flight").get_to(report.inFlight);
     json.at("queued").get_to(report.queued);
     json.at("slots").get_to(report.slots);
-    json.at("latency_us").get_to(report.latencyUs);
-    return report;
+    json.at("route_class").get_to(report.routeClass);
+    report.latency = Duration(json.at("latency_us").get<std::int64_t>());
+    return named;
+}
+
+/// Splits "a,b,c" into its parts.
+std::vector<std::string_view> splitFields(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    for (std::size_t end = 0; end != std::string_view::npos;) {
+        end = text.find(',');
+        parts.push_back(text.substr(0, end));
+        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    }
+    return parts;
+}
+
+/// @return whether the whole text is a number, which is stored in `number`
+template<typename Number>
+bool parseNumber(std::string_view text, Number &number)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc() && end == text.data() + text.size();
 }
 
 } // namespace
 
+void appendReport(const UpstreamReport &report, HeaderList &headers)
+{
+    headers.add(PeerHeader::load,
+                std::to_string(report.inFlight) + "," + std::to_string(report.queued) + "," + std::to_string(report.slots));
+    headers.add(PeerHeader::state,
+                std::string(verdictName(report.verdict)) + "," + std::string(causeName(report.cause)) + ","
+                    + std::to_string(report.severity) + "," + std::to_string(report.weight));
+    headers.add(PeerHeader::latencyUs, std::to_string(report.latency.count()) + "," + std::to_string(report.routeClass));
+}
+
+std::optional<UpstreamReport> reportFromHeaders(const HeaderList &headers)
+{
+    const auto load = splitFields(headers.find(PeerHeader::load).value_or(""));
+    const auto state = splitFields(headers.find(PeerHeader::state).value_or(""));
+    const auto latency = splitFields(headers.find(PeerHeader::latencyUs).value_or(""));
+    if (load.size() != 3 || state.size() != 4 || latency.size() != 2) {
+        return std::nullopt;
+    }
+    UpstreamReport report;
+    const auto verdict = verdictFromName(state[0]);
+    const auto cause = causeFromName(state[1]);
+    Duration::rep latencyUs = 0;
+    const bool parsed = verdict && cause && parseNumber(load[0], report.inFlight) && parseNumber(load[1], report.queued)
+                        && parseNumber(load[2], report.slots) && parseNumber(state[2], report.severity)
+                        && parseNumber(state[3], report.weight) && parseNumber(latency[0], latencyUs)
+                        && parseNumber(latency[1], report.routeClass);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    report.verdict = *verdict;
+    report.cause = *cause;
+    report.latency = Duration(latencyUs);
+    return report;
+}
+
 std::string NodeReport::encode() const
 {
     nlohmann::json json = {{"version", this->version},
@@ -44,7 +109,7 @@
                            {"revision", this->revision},
                            {"leaving", this->leaving}};
     auto &rows = json["upstreams"] = nlohmann::json::array();
-    for (const UpstreamReport &report : this->upstreams) {
+    for (const NamedUpstreamReport &report : this->upstreams) {
         rows.push_back(toJson(report));
     }
     std::string bytes;
--- a/galenarack/peer/peercontrol.h
+++ b/galenarack/peer/peercontrol.h
@@ -2,10 +2,13 @@
 
 #include <galenarack/core/ids.h>
 #include <galenarack/core/nodeidentity.h>
+#include <galenarack/health/upstreamreport.h>
+#include <galenarack/peer/peermessage.h>
 
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,18 +28,19 @@
 inline constexpr std::string_view section = "/.galenarack/section/"; ///< Followed by the digest.
 } // namespace PeerPath
 
-/// State of one home upstream, as its home reports it.
-struct UpstreamReport
+/// The home's report on one of its upstreams, with the name of the upstream.
+struct NamedUpstreamReport
 {
     std::string upstream;
-    std::string state; ///< "serving", "cold", "leaving" or "ejected".
-    double severity = 0.0; ///< 0 healthy, 1 or more: the home would eject.
-    std::uint32_t inFlight = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t slots = 0;
-    std::int64_t latencyUs = 0; ///< Latency summary; 0 without samples.
+    UpstreamReport report;
 };
 
+/// Appends a report to the header fields of a response.
+void appendReport(const UpstreamReport &report, HeaderList &headers);
+
+/// @return the report in the header fields of a response, or nothing when there is none or it is malformed
+std::optional<UpstreamReport> reportFromHeaders(const HeaderList &headers);
+
 /// What a node tells a peer about itself in hello and heartbeat messages.
 struct NodeReport
 {
@@ -47,7 +51,7 @@
     std::int64_t clockMs = 0; ///< The node's own clock when the message was made.
     std::uint64_t revision = 0; ///< Revision in force; 0 before the first.
     bool leaving = false;
-    std::vector<UpstreamReport> upstreams; ///< Only in heartbeats.
+    std::vector<NamedUpstreamReport> upstreams; ///< Only in heartbeats.
 
     /// @return CBOR bytes
     std::string encode() const;
