Add the daemon: settings, configuration follower and node

Cause: the parts had no process that joins them. Change: galenarackd with checked settings from flags and environment, ConfigFollower (service, peers, start rule) and Node, which owns the parts and runs their tick. Ruled out: peer seeds as bare addresses; membership and connections are keyed by VM, so a seed names the VM too.

--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -341,6 +341,11 @@
     this->draining = true;
 }
 
+std::vector<NamedUpstreamReport> HomeNode::reports(TimePoint /*now*/) const
+{
+    return {};
+}
+
 HomeUpstreamRow *HomeNode::findRow(std::string_view name)
 {
     const auto row = std::ranges::find(this->rows, name, &HomeUpstreamRow::name);
--- a/galenarack/home/homenode.h
+++ b/galenarack/home/homenode.h
@@ -7,6 +7,7 @@
 #include <galenarack/home/slotadmission.h>
 #include <galenarack/home/upstreampool.h>
 #include <galenarack/peer/forwardmeta.h>
+#include <galenarack/peer/peercontrol.h>
 #include <galenarack/peer/peersession.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -80,6 +81,9 @@
         return this->rows;
     }
 
+    /// @return what heartbeats say about the upstreams on this VM
+    std::vector<NamedUpstreamReport> reports(TimePoint now) const;
+
     /// @return the execution ledger
     const ExecutionLedger &executionLedger() const
     {
--- /dev/null
+++ b/galenarack/node/node.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <galenarack/core/log.h>
+#include <galenarack/home/homenode.h>
+#include <galenarack/ingress/ingressserver.h>
+#include <galenarack/ingress/requestforwarder.h>
+#include <galenarack/membership/gossipsystem.h>
+#include <galenarack/membership/gossiptransport.h>
+#include <galenarack/membership/membertable.h>
+#include <galenarack/node/configfollower.h>
+#include <galenarack/node/settings.h>
+#include <galenarack/operators/audittrail.h>
+#include <galenarack/operators/metrics.h>
+#include <galenarack/operators/operatorserver.h>
+#include <galenarack/peer/peerclient.h>
+#include <galenarack/peer/peerserver.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <random>
+
+namespace Galenarack {
+
+/// One node: owns all parts of the daemon, connects them and runs their tick.
+class Node
+{
+public:
+    Node(boost::asio::io_context &context, const Settings &settings, std::mt19937_64 random);
+
+    /// Binds all ports and starts.
+    /// @return SettingInvalid when an address cannot be bound
+    absl::Status start();
+
+    /// Leaves the fleet: takes no new work, lets all work in progress end, then stops the event loop.
+    /// @param signal what asked for it, for the audit trail
+    void drain(std::string_view signal);
+
+private:
+    /// Steps of leaving, in order.
+    enum class DrainStep : std::uint8_t {
+        Serving,
+        Announcing, ///< Readiness is red and peers are told; callers are still served.
+        Finishing, ///< No new connections; work in progress ends.
+    };
+
+    boost::asio::awaitable<void> tickLoop();
+    void tick(TimePoint now);
+    void tickDrain(TimePoint now);
+    boost::asio::awaitable<PeerResponse> answerPeer(std::shared_ptr<PeerCall> call);
+    void takeReport(const NodeReport &report);
+    void takeDocument(const std::shared_ptr<const Document> &document);
+    void takeVmList(const std::vector<VmEntry> &vms);
+    void takeMembers(TimePoint now);
+    void applySeeds();
+    NodeReport ownReport(bool withUpstreams) const;
+    std::shared_ptr<const Document> servingDocument() const;
+    Readiness readiness() const;
+    OperatorSources operatorSources();
+    NodeStatus status() const;
+    std::vector<UpstreamStatus> upstreamStatus() const;
+    bool isIdle() const;
+
+    boost::asio::io_context &context;
+    Settings settings;
+    std::mt19937_64 random;
+    NodeIdentity identity;
+    AuditTrail audit;
+    Metrics metrics;
+    PeerClient peers;
+    HomeNode home;
+    RequestForwarder forwarder;
+    IngressServer ingress;
+    PeerServer peerServer;
+    ConfigFollower config;
+    MemberTable members;
+    GossipSystem gossip;
+    std::unique_ptr<GossipTransport> gossipTransport;
+    std::unique_ptr<OperatorServer> operatorServer;
+    boost::asio::steady_timer timer;
+    DrainStep drainStep = DrainStep::Serving;
+    TimePoint drainStarted;
+    TimePoint startedAt;
+    Log log;
+};
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarack/node/settings.cpp
@@ -0,0 +1,160 @@
+#include <galenarack/node/settings.h>
+
+#include <galenarack/core/errorkind.h>
+#include <galenarack/execution/idempotencykey.h>
+#include <galenarack/membership/gossipmessage.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace Galenarack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+absl::Status invalid(std::string_view flag, std::string_view value, std::string_view allowed)
+{
+    return makeError(ErrorKind::SettingInvalid,
+                     "--" + std::string(flag) + "=" + std::string(value) + ": allowed is " + std::string(allowed));
+}
+
+std::vector<std::string_view> splitList(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const std::size_t end = text.find(',');
+        parts.push_back(text.substr(0, end));
+        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    }
+    return parts;
+}
+
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']')) {
+        host = host.substr(1, host.size() - 2);
+    }
+    const std::string_view portText = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, portError] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    boost::system::error_code hostError;
+    const auto address = asio::ip::make_address(std::string(host), hostError);
+    if (hostError || portError != std::errc() || end != portText.data() + portText.size() || port == 0) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+/// Splits "name=value".
+std::optional<std::pair<std::string, std::string_view>> splitNamed(std::string_view text)
+{
+    const std::size_t equals = text.find('=');
+    if (equals == 0 || equals == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return std::pair(std::string(text.substr(0, equals)), text.substr(equals + 1));
+}
+
+absl::Status checkEndpoint(std::string_view flag, std::string_view value, asio::ip::tcp::endpoint &target)
+{
+    const auto endpoint = parseEndpoint(value);
+    if (!endpoint) {
+        return invalid(flag, value, "IP:PORT with an IP address and a port from 1 to 65535");
+    }
+    target = *endpoint;
+    return absl::OkStatus();
+}
+
+absl::Status checkName(std::string_view flag, std::string_view value)
+{
+    return isGossipName(value) ? absl::OkStatus()
+                               : invalid(flag, value, "a name of 1 to 63 printable characters without space, quote or backslash");
+}
+
+absl::Status checkHomeUpstreams(std::string_view value, std::vector<HomeUpstream> &upstreams)
+{
+    constexpr std::string_view allowed = "NAME=IP:PORT,... with each name once";
+    for (const std::string_view part : splitList(value)) {
+        const auto named = splitNamed(part);
+        const auto endpoint = named ? parseEndpoint(named->second) : std::nullopt;
+        if (!endpoint || std::ranges::find(upstreams, named->first, &HomeUpstream::name) != upstreams.end()) {
+            return invalid("home_upstreams", part, allowed);
+        }
+        upstreams.push_back({named->first, *endpoint});
+    }
+    return absl::OkStatus();
+}
+
+absl::Status checkPeerSeeds(std::string_view value, std::vector<PeerSeed> &seeds)
+{
+    for (const std::string_view part : splitList(value)) {
+        const auto named = splitNamed(part);
+        if (!named || !isGossipAddress(named->second)) {
+            return invalid("peer_seeds", part, "VM=IP,...");
+        }
+        seeds.push_back({named->first, std::string(named->second)});
+    }
+    return absl::OkStatus();
+}
+
+absl::Status checkLogLevel(std::string_view value, LogLevel &level)
+{
+    constexpr std::array<std::pair<std::string_view, LogLevel>, 4> levels
+        = {{{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warn", LogLevel::Warn}, {"error", LogLevel::Error}}};
+    for (const auto &[name, candidate] : levels) {
+        if (name == value) {
+            level = candidate;
+            return absl::OkStatus();
+        }
+    }
+    return invalid("log_level", value, "debug, info, warn or error");
+}
+
+} // namespace
+
+absl::StatusOr<Settings> checkSettings(const RawSettings &raw)
+{
+    constexpr int maxDrainSeconds = 3600;
+    Settings settings;
+    settings.fleet = raw.fleet;
+    settings.vm = raw.vm;
+    settings.failureDomain = raw.failureDomain;
+    absl::Status status;
+    status.Update(checkName("fleet", raw.fleet));
+    status.Update(isKeyVmName(raw.vm) ? absl::OkStatus() : invalid("vm", raw.vm, "1 to 63 letters, digits or '-'"));
+    status.Update(checkName("failure_domain", raw.failureDomain));
+    status.Update(checkEndpoint("caller_address", raw.callerAddress, settings.callerAddress));
+    status.Update(checkEndpoint("peer_address", raw.peerAddress, settings.peerAddress));
+    status.Update(checkEndpoint("operators_address", raw.operatorsAddress, settings.operatorsAddress));
+    status.Update(checkEndpoint("config_service", raw.configService, settings.configService));
+    status.Update(checkHomeUpstreams(raw.homeUpstreams, settings.homeUpstreams));
+    status.Update(checkPeerSeeds(raw.peerSeeds, settings.peerSeeds));
+    status.Update(checkLogLevel(raw.logLevel, settings.logLevel));
+    if (raw.drainTimeoutSeconds < 1 || raw.drainTimeoutSeconds > maxDrainSeconds) {
+        status.Update(invalid("drain_timeout_s", std::to_string(raw.drainTimeoutSeconds), "1 to 3600 seconds"));
+    }
+    settings.drainTimeout = std::chrono::seconds(raw.drainTimeoutSeconds);
+    if (settings.peerAddress.address().is_unspecified()) {
+        status.Update(invalid("peer_address", raw.peerAddress, "the address by which other nodes reach this one"));
+    }
+    const bool sharedAddress = settings.callerAddress == settings.peerAddress || settings.callerAddress == settings.operatorsAddress
+                               || settings.peerAddress == settings.operatorsAddress;
+    if (sharedAddress) {
+        status.Update(invalid("operators_address", raw.operatorsAddress, "an address that no other port of the node uses"));
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    return settings;
+}
+
+} // namespace Galenarack
--- /dev/null
+++ b/galenarackd/main.cpp
@@ -0,0 +1,116 @@
+#include <galenarack/core/errorkind.h>
+#include <galenarack/core/log.h>
+#include <galenarack/node/node.h>
+#include <galenarack/node/settings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+#include <vector>
+
+DEFINE_string(fleet, "", "Identity: name of the fleet; nodes of another fleet are refused");
+DEFINE_string(vm, "", "Identity: name of this VM, unique in the fleet: 1 to 63 letters, digits or '-'");
+DEFINE_string(failure_domain, "", "Identity: failure domain of this VM");
+DEFINE_string(caller_address, "", "Addresses: IP:PORT for callers (HTTP/1.1)");
+DEFINE_string(peer_address, "", "Addresses: IP:PORT for other nodes (HTTP/2 and UDP); the port is the same on all nodes of a fleet");
+DEFINE_string(operators_address, "", "Addresses: IP:PORT for operators (HTTP/1.1)");
+DEFINE_string(home_upstreams, "", "Addresses: upstreams on this VM, NAME=IP:PORT,...");
+DEFINE_string(config_service, "", "Platform: IP:PORT of the configuration service");
+DEFINE_string(peer_seeds, "", "Platform: VM=IP,... nodes to ask when the configuration service is away at start");
+DEFINE_int32(drain_timeout_s, 30, "Behaviour: after SIGTERM the process ends within this many seconds");
+DEFINE_string(log_level, "info", "Behaviour: lowest level that is logged: debug, info, warn or error");
+
+namespace {
+
+using namespace Galenarack;
+
+constexpr int exitUsage = 2;
+constexpr std::string_view environmentPrefix = "GALENARACK_";
+
+/// Sets each flag of this program from its environment variable: GALENARACK_ and the flag in capitals.
+void readEnvironment()
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const gflags::CommandLineFlagInfo &flag : flags) {
+        std::string variable(environmentPrefix);
+        for (const char c : flag.name) {
+            variable.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(c))));
+        }
+        const char *value = std::getenv(variable.c_str());
+        if (value != nullptr && gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
+            std::cerr << "galenarackd: " << variable << "=" << value << ": allowed is a value of type " << flag.type << '\n';
+            std::exit(exitUsage);
+        }
+    }
+}
+
+RawSettings rawSettings()
+{
+    RawSettings raw;
+    raw.fleet = FLAGS_fleet;
+    raw.vm = FLAGS_vm;
+    raw.failureDomain = FLAGS_failure_domain;
+    raw.callerAddress = FLAGS_caller_address;
+    raw.peerAddress = FLAGS_peer_address;
+    raw.operatorsAddress = FLAGS_operators_address;
+    raw.configService = FLAGS_config_service;
+    raw.homeUpstreams = FLAGS_home_upstreams;
+    raw.peerSeeds = FLAGS_peer_seeds;
+    raw.logLevel = FLAGS_log_level;
+    raw.drainTimeoutSeconds = FLAGS_drain_timeout_s;
+    return raw;
+}
+
+std::mt19937_64 seededRandom()
+{
+    std::random_device device;
+    std::seed_seq seed{device(), device(), device(), device()};
+    return std::mt19937_64(seed);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("One node of a galenarack fleet.\n"
+                            "Each flag can also be set by an environment variable: GALENARACK_ and the flag in capitals;\n"
+                            "the command line goes first.");
+    gflags::SetVersionString("0.1.0");
+    readEnvironment();
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc > 1) {
+        std::cerr << "galenarackd: " << argv[1] << ": allowed are flags only, see --help\n";
+        return exitUsage;
+    }
+    const auto settings = checkSettings(rawSettings());
+    if (!settings.ok()) {
+        std::cerr << "galenarackd: " << messageOf(settings.status()) << '\n';
+        return exitUsage;
+    }
+    configureLogging(settings->logLevel);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    boost::asio::io_context context(1);
+    Node node(context, *settings, seededRandom());
+    if (const absl::Status status = node.start(); !status.ok()) {
+        std::cerr << "galenarackd: " << messageOf(status) << '\n';
+        return exitUsage;
+    }
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&node](const boost::system::error_code &error, int) {
+        if (!error) {
+            node.drain("SIGTERM");
+        }
+    });
+    context.run();
+    // The parts refer to each other from detached coroutines, so the process ends without taking them apart.
+    std::cerr.flush();
+    std::_Exit(EXIT_SUCCESS);
+}
