--- a/galenarack/config/configreader.cpp
+++ b/galenarack/config/configreader.cpp
@@ -121,11 +121,23 @@
     }
 }
 
+bool ConfigReader::mayFetch(const PeerFetch &fetch) const
+{
+    if (this->watch.isStopped() || this->peerFetches.size() >= maxPeerFetches || this->peerFetches.contains(fetch)) {
+        return false;
+    }
+    const TimePoint now = NodeClock::now();
+    return std::ranges::none_of(this->peerFetches, [&fetch, now](const auto &entry) {
+        return entry.first.first == fetch.first && now - entry.second < peerPatience;
+    });
+}
+
 void ConfigReader::offerFromPeer(std::string peer, std::string manifestJson, FetchSection fetch)
 {
-    if (this->watch.isStopped() || this->peerFetches.size() >= maxPeerFetches || !this->peerFetches.insert(manifestJson).second) {
+    if (!this->mayFetch({manifestJson, peer})) {
         return;
     }
+    this->peerFetches[{manifestJson, peer}] = NodeClock::now();
     auto self = this->shared_from_this();
     asio::co_spawn(this->executor,
                    this->takeFromPeer(std::move(peer), std::move(manifestJson), std::move(fetch)),
@@ -151,7 +163,7 @@
     };
     std::vector<std::string> missing = this->missingFor(manifestJson);
     co_await this->fetchAll(peer, std::move(missing), std::move(bounded));
-    this->peerFetches.erase(manifestJson);
+    this->peerFetches.erase({manifestJson, peer});
     if (!this->watch.isStopped()) {
         this->callbacks.manifest(peer, manifestJson);
     }
--- a/galenarack/config/configreader.h
+++ b/galenarack/config/configreader.h
@@ -6,9 +6,10 @@
 #include <absl/status/status.h>
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <utility>
 
 namespace Galenarack {
 
@@ -46,15 +47,24 @@
     /// Ends all calls soon.
     void stop();
 
-    /// Takes a manifest from a peer and fetches the missing sections from it. An offer that is being fetched already is dropped.
+    /// Takes a manifest from a peer and fetches the missing sections from it. While a peer is busy with the same manifest, offers of
+    /// others are dropped; they come again with the next heartbeat. After `peerPatience` another peer gets its chance as well.
     void offerFromPeer(std::string peer, std::string manifestJson, FetchSection fetch);
 
+    /// How long one peer may take before the next one is tried. A peer that hangs must not use up the 5 s of P7.
+    static constexpr Duration peerPatience = std::chrono::seconds(1);
+
     ReaderCounters counters() const
     {
         return this->watch.counters();
     }
 
 private:
+    /// A manifest and the peer that it is fetched from.
+    using PeerFetch = std::pair<std::string, std::string>;
+
+    bool mayFetch(const PeerFetch &fetch) const;
+
     /// @return whether the manifest was handed over with all its sections
     boost::asio::awaitable<bool> takeFromService(std::string manifestJson);
     boost::asio::awaitable<void> takeFromPeer(std::string peer, std::string manifestJson, FetchSection fetch);
@@ -72,7 +82,7 @@
     const RevisionGate &gate;
     ConfigReaderCallbacks callbacks;
     KeyWatch watch;
-    std::set<std::string> peerFetches; ///< Manifests being fetched from peers.
+    std::map<PeerFetch, TimePoint> peerFetches; ///< Fetches in progress, with their start.
 };
 
 } // namespace Galenarack
--- a/galenarack/document/document.h
+++ b/galenarack/document/document.h
@@ -92,6 +92,7 @@
     RouteTable routes;
     AccountTable accounts;
     Timings timings;
+    std::string timingsSection; ///< Section that states the timings; empty when they are the defaults.
 
     /// Builds the indexes behind the lookups below. Call again after a change of services or upstreams;
     /// until then the lookups search the tables from the start.
--- a/galenarack/document/documentchecker.cpp
+++ b/galenarack/document/documentchecker.cpp
@@ -677,6 +677,7 @@
         }
         if (section.kind == SectionKind::Timings) {
             document.timings = section.timings;
+            document.timingsSection = section.info.name;
         }
     }
     document.routes = RouteTable(std::move(routes));
