Add galenarackctl with check, diff and manifest

Cause: operators check a change before they publish it, and publish a manifest that every node decides on alike. Change: a table of commands, each in its own file; errors and differences as tables or JSON; exit codes 0, 1 and 2. manifest writes values and manifest under the keys of the service and keeps sections that the files do not hold, so that a team publishes its own alone, also while a section of another team is held back. Ruled out: ParseCommandLineFlags() of gflags, which ends the process with 1 for a wrong flag; here 1 means findings. Its hook gflags_exitfunc is not exported by the library (the link failed).

--- /dev/null
+++ b/galenarackctl/main.cpp
@@ -0,0 +1,109 @@
+#include "command.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+DEFINE_string(output, "text", "text for people, json for programs");
+
+using namespace Galenarack;
+
+namespace {
+
+std::string usageText()
+{
+    std::string text = "operators' tool of galenarack\n\n  galenarackctl COMMAND [--output text|json] [FLAG...] ARGUMENT...\n\n";
+    for (const Command &command : commandTable()) {
+        text += "  " + std::string(command.name) + " " + std::string(command.arguments) + "\n      " + std::string(command.summary) + "\n";
+    }
+    return text
+           + "\nExit code: 0 ok, 1 findings, 2 usage. Each flag is also an environment variable: GALENARACK_ and its name in capitals.";
+}
+
+/// Sets the flags that the environment names; the command line goes before them.
+/// @return what is wrong; empty when nothing is
+std::string readEnvironment()
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const gflags::CommandLineFlagInfo &flag : flags) {
+        std::string variable = "GALENARACK_" + flag.name;
+        std::ranges::transform(variable, variable.begin(), [](char c) {
+            return c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c;
+        });
+        const char *value = std::getenv(variable.c_str());
+        if (value != nullptr && gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
+            return variable + ": not a valid value: '" + value + "'";
+        }
+    }
+    return {};
+}
+
+/// Sets the flags of the command line. ParseCommandLineFlags() of gflags ends the process with 1 for a wrong flag, which here means
+/// findings.
+/// @param arguments all arguments; only those that are no flags are left
+/// @return what is wrong; empty when nothing is
+std::string readFlags(std::vector<std::string> &arguments)
+{
+    std::vector<std::string> rest;
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        const std::string &argument = arguments[i];
+        if (!argument.starts_with("--")) {
+            rest.push_back(argument);
+            continue;
+        }
+        const std::size_t equals = argument.find('=');
+        const std::string name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
+        gflags::CommandLineFlagInfo flag;
+        if (!gflags::GetCommandLineFlagInfo(name.c_str(), &flag)) {
+            return "unknown flag " + argument;
+        }
+        std::string value = "true";
+        if (equals != std::string::npos) {
+            value = argument.substr(equals + 1);
+        } else if (flag.type != "bool") {
+            if (++i == arguments.size()) {
+                return argument + " needs a value";
+            }
+            value = arguments[i];
+        }
+        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+            return argument + ": not a valid value: '" + value + "'";
+        }
+    }
+    arguments = std::move(rest);
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (std::ranges::find(arguments, "--help") != arguments.end()) {
+        std::cout << usageText() << '\n';
+        return static_cast<int>(ExitCode::Ok);
+    }
+    std::string error = readEnvironment();
+    error += error.empty() ? readFlags(arguments) : "";
+    const std::string name = arguments.empty() ? std::string() : arguments.front();
+    const auto command = std::ranges::find(commandTable(), name, &Command::name);
+    if (error.empty() && command == commandTable().end()) {
+        error = name.empty() ? "a command is needed" : "unknown command " + name;
+    }
+    if (error.empty() && FLAGS_output != "text" && FLAGS_output != "json") {
+        error = "--output: allowed: text or json";
+    }
+    if (!error.empty()) {
+        std::cerr << "galenarackctl: " << error << "\n\n" << usageText() << '\n';
+        return static_cast<int>(ExitCode::Usage);
+    }
+    arguments.erase(arguments.begin());
+    const CommandContext context{std::move(arguments), FLAGS_output == "json", std::cout, std::cerr};
+    return static_cast<int>(command->run(context));
+}
--- a/unittests/documentparsertest.cpp
+++ b/unittests/documentparsertest.cpp
@@ -135,7 +135,7 @@
         for (const auto &file : std::filesystem::directory_iterator(GALENARACK_SOURCE_DIR "/docs/examples/claims")) {
             std::ostringstream text;
             text << std::ifstream(file.path()).rdbuf();
-            sections.push_back({file.path().stem().string(), text.str(), ""});
+            sections.push_back({DocumentParser::parse(text.str())->info.name, text.str(), ""});
         }
         const Acceptance acceptance = acceptRevision(makeManifest(1, sections, cache), cache);
         CPPUNIT_ASSERT_EQUAL(std::string(), findingsText(acceptance.findings));
