--- a/galenarack/config/revisiongate.cpp
+++ b/galenarack/config/revisiongate.cpp
@@ -3,6 +3,7 @@
 #include <galenarack/core/errorkind.h>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace Galenarack {
@@ -23,13 +24,19 @@
     return "revision " + std::to_string(revision);
 }
 
-/// @return all errors in one text
+/// Errors in the text of an alarm; GateResult::acceptance has all.
+constexpr std::size_t maxAlarmFindings = 100;
+
+/// @return the errors in one text
 std::string joined(const std::vector<Finding> &findings)
 {
     std::string text;
-    for (const Finding &finding : findings) {
+    for (const Finding &finding : std::span(findings).first(std::min(findings.size(), maxAlarmFindings))) {
         text += (text.empty() ? "" : "\n") + finding.toString();
     }
+    if (findings.size() > maxAlarmFindings) {
+        text += "\nand " + std::to_string(findings.size() - maxAlarmFindings) + " more";
+    }
     return text;
 }
 
--- a/galenarack/document/documentparser.cpp
+++ b/galenarack/document/documentparser.cpp
@@ -78,6 +78,9 @@
     return value;
 }
 
+/// Errors listed for one section. A section of 1 MB of garbage could have 250,000; the first ones show what is wrong.
+constexpr std::size_t maxFindings = 1'000;
+
 /// Collects the findings of one section.
 class FindingSink
 {
@@ -89,9 +92,22 @@
 
     void add(unsigned line, std::string_view field, std::string_view value, std::string_view problem, std::string_view allowed)
     {
+        if (this->findings.size() >= maxFindings) {
+            ++this->unlisted;
+            return;
+        }
         this->findings.push_back({{}, {}, line, std::string(field), shortened(value), std::string(problem), std::string(allowed)});
     }
 
+    /// States how many errors are not listed. Call once, at the end.
+    void finish()
+    {
+        if (this->unlisted > 0) {
+            const std::string problem = "errors that are not listed: " + std::to_string(this->unlisted);
+            this->findings.push_back({{}, {}, 0, {}, {}, problem, {}});
+        }
+    }
+
     /// @return whether an error of the field is known already
     bool hasField(std::string_view field) const
     {
@@ -100,6 +116,7 @@
 
 private:
     std::vector<Finding> &findings;
+    std::size_t unlisted = 0;
 };
 
 /// Reads the fields of one row against the field table.
@@ -472,6 +489,7 @@
     auto section = std::make_shared<Section>();
     FindingSink sink(section->findings);
     readSection(text, sink, *section);
+    sink.finish();
     section->info.digest = sha256Hex(text);
     if (!expectedName.empty() && !section->info.name.empty() && section->info.name != expectedName) {
         sink.add(0, "section", section->info.name, "differs from the name in the manifest", expectedName);
--- a/galenarack/document/yamltree.cpp
+++ b/galenarack/document/yamltree.cpp
@@ -1,5 +1,6 @@
 #include <galenarack/document/yamltree.h>
 
+#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
 #include <yaml-cpp/mark.h>
@@ -132,6 +133,9 @@
             result.error = "a second YAML document follows; a section is one document";
             result.errorLine = rest.takeRoot().line;
         }
+    } catch (const YAML::DeepRecursion &exception) {
+        result.error = "nested too deeply";
+        result.errorLine = lineOf(exception.mark);
     } catch (const YAML::Exception &exception) {
         result.error = exception.msg;
         result.errorLine = lineOf(exception.mark);
--- a/unittests/documentparsertest.cpp
+++ b/unittests/documentparsertest.cpp
@@ -108,7 +108,8 @@
         }
     }
 
-    /// Guards against a value that stops the daemon: deep nesting, binary bytes, an empty or oversized value.
+    /// Guards against a value that stops the daemon or fills its memory: deep nesting, binary bytes, an empty or oversized value, an error
+    /// in each of 5,000 lines.
     void garbageIsAnErrorAndNoCrash()
     {
         const std::string texts[] = {"",
@@ -125,6 +126,13 @@
         for (const std::string &text : texts) {
             CPPUNIT_ASSERT(!DocumentParser::parse(text, "x")->findings.empty());
         }
+        std::string keys;
+        for (int i = 0; i < 5'000; ++i) {
+            keys += "k" + std::to_string(i) + ": 1\n";
+        }
+        const auto section = DocumentParser::parse(keys, "x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1'001}, section->findings.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("errors that are not listed: 4005"), section->findings.front().problem);
     }
 
     /// Guards against an example that the daemon would refuse, and against a comment in it that no longer holds.
