Test the stand-ins against each other

Cause: the stand-ins judge the daemon, so a fault of theirs hides one of its. Found by them: fixed arrivals summed the gaps and sent 301 requests in place of 300; the offset is now computed from the number of the request.

--- /dev/null
+++ b/processtests/support/temporaryfolder.cpp
@@ -0,0 +1,24 @@
+#include "temporaryfolder.h"
+
+#include <cerrno>
+#include <cstdlib>
+#include <system_error>
+
+namespace Galenarack {
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "galenarack-test-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::system_error(errno, std::generic_category(), "mkdtemp");
+    }
+    this->folder = name;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+} // namespace Galenarack
--- a/standins/common/relay.cpp
+++ b/standins/common/relay.cpp
@@ -118,7 +118,7 @@
     }
 }
 
-void Relay::sendLater(DatagramSocket socket, std::string datagram, Udp::endpoint receiver)
+void Relay::sendLater(const DatagramSocket &socket, std::string datagram, const Udp::endpoint &receiver)
 {
     const auto timer = std::make_shared<asio::steady_timer>(this->context, this->fault.delay);
     timer->async_wait([timer, socket, datagram = std::move(datagram), receiver](const boost::system::error_code &) {
--- a/standins/load/loadgenerator.cpp
+++ b/standins/load/loadgenerator.cpp
@@ -50,7 +50,12 @@
         const Time scheduled = this->start + std::chrono::duration_cast<std::chrono::steady_clock::duration>(offset);
         co_await sleepFor(timer, scheduled - std::chrono::steady_clock::now());
         asio::co_spawn(this->context, this->runRequest(number, scheduled), asio::detached);
-        offset += std::chrono::duration<double>(this->settings.poisson ? gap(this->random) : 1.0 / this->settings.ratePerSecond);
+        if (this->settings.poisson) {
+            offset += std::chrono::duration<double>(gap(this->random));
+        } else {
+            // A sum of gaps would collect rounding errors and send one request too many.
+            offset = std::chrono::duration<double>(static_cast<double>(number + 1) / this->settings.ratePerSecond);
+        }
     }
     do {
         co_await sleepFor(timer, drainCheckInterval);
