Serve the first request end to end through separate processes

Cause: the daemon aborted with a double free when a peer connected. The address sanitizer shows the string captured by a lambda that was a temporary of a co_await expression being destroyed twice (g++ 12). Ruled out: an error in the ownership of sessions; the first free and the second have the same frame.

--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -92,23 +92,40 @@
     co_return co_await this->run(course);
 }
 
-absl::Status RequestForwarder::prepare(Course &course) const
+absl::Status RequestForwarder::findRoute(Course &course) const
 {
     if (!course.document) {
         return makeError(ErrorKind::NotReady, "no document is in force yet");
     }
     const std::string_view path = pathOf(course.request.target);
-    course.route = course.document->routes.find(path);
+    course.route = course.document->routes.find(path, course.request.method);
     if (course.route == nullptr) {
         return makeError(ErrorKind::RouteNotFound, "no route matches " + std::string(path));
     }
     if (!course.route->allows(course.request.method)) {
         return makeError(ErrorKind::MethodNotAllowed, "route " + course.route->prefix + " does not allow " + course.request.method);
     }
+    course.deadline = course.received + course.route->deadline;
+    return absl::OkStatus();
+}
+
+absl::Status RequestForwarder::findAccount(Course &course) const
+{
     course.account = course.request.headers.find(PeerHeader::account).value_or(anonymousAccount);
     if (!course.document->accounts.all().empty() && course.document->accounts.find(course.account) == nullptr) {
         return makeError(ErrorKind::AccountUnknown, "account " + course.account + " is not in the document");
     }
+    return absl::OkStatus();
+}
+
+absl::Status RequestForwarder::prepare(Course &course) const
+{
+    if (absl::Status status = this->findRoute(course); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = this->findAccount(course); !status.ok()) {
+        return status;
+    }
     Duration allowed = course.route->deadline;
     if (const auto timeout = course.request.headers.findNumber(timeoutField)) {
         allowed = std::min<Duration>(allowed, std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1)));
@@ -135,9 +152,7 @@
     AttemptAction::Any action = machine.on(AttemptEvent::Started());
     for (;;) {
         if (std::holds_alternative<AttemptAction::Answer>(action)) {
-            PeerResponse response = std::move(*course.response);
-            response.headers.add(PeerHeader::requestId, course.id.toString());
-            co_return response;
+            co_return this->toCallerResponse(course);
         }
         if (const auto *fail = std::get_if<AttemptAction::Fail>(&action)) {
             co_return this->failure(course, fail->kind);
@@ -170,12 +185,10 @@
     const std::string vm = course.document->upstreams[*upstream].vm;
     // A new id for each attempt, since a home decides once about an id.
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
-    auto response = co_await this->send(
-        vm,
-        [this, &course, number](const PeerView &view) {
-            return this->makeAttempt(course, number, view);
-        },
-        course);
+    const std::function<PeerRequest(const PeerView &)> makeRequest = [this, &course, number](const PeerView &view) {
+        return this->makeAttempt(course, number, view);
+    };
+    auto response = co_await this->send(vm, makeRequest, course);
     co_return this->interpretAttempt(course, std::move(response));
 }
 
@@ -263,12 +276,10 @@
         request.path = std::string(PeerPath::relay) + vm;
     }
     this->makeMeta(course).appendTo(request.headers);
-    auto response = co_await this->send(
-        receiver,
-        [&request](const PeerView &) {
-            return request;
-        },
-        course);
+    const std::function<PeerRequest(const PeerView &)> makeRequest = [&request](const PeerView &) {
+        return request;
+    };
+    auto response = co_await this->send(receiver, makeRequest, course);
     if (!response.ok()) {
         const bool timedOut = errorKindOf(response.status()) == ErrorKind::Timeout;
         co_return timedOut ? AttemptEvent::Any(AttemptEvent::DeadlineReached()) : AttemptEvent::Any(AttemptEvent::OutcomeUnreachable());
@@ -354,6 +365,21 @@
     return *std::next(vms.begin(), static_cast<std::ptrdiff_t>(pick(this->random)));
 }
 
+PeerResponse RequestForwarder::toCallerResponse(Course &course) const
+{
+    // Fields between nodes stay inside the fleet.
+    PeerResponse response;
+    response.status = course.response->status;
+    response.body = std::move(course.response->body);
+    for (const HeaderField &field : course.response->headers.all()) {
+        if (!field.name.starts_with(PeerHeader::prefix)) {
+            response.headers.add(field.name, field.value);
+        }
+    }
+    response.headers.add(PeerHeader::requestId, course.id.toString());
+    return response;
+}
+
 RetryBudget &RequestForwarder::budgetOf(const Course &course)
 {
     return this->budgets[course.document->services[course.route->service].name];
@@ -374,7 +400,7 @@
     course.received = NodeClock::now();
     course.document = this->document();
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
-    const absl::Status status = this->prepare(course);
+    const absl::Status status = this->findRoute(course);
     if (!status.ok()) {
         co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
     }
@@ -406,12 +432,11 @@
         co_return co_await this->home.outcome(call);
     }
     constexpr Duration relayTimeout = std::chrono::seconds(10);
-    auto reply = co_await this->peers.request(
-        vm,
-        [call](const PeerView &) {
-            return call->request;
-        },
-        NodeClock::now() + relayTimeout);
+    // A named function: g++ 12 destroys closures that are temporaries of a co_await expression twice.
+    const std::function<PeerRequest(const PeerView &)> makeRequest = [call](const PeerView &) {
+        return call->request;
+    };
+    auto reply = co_await this->peers.request(vm, makeRequest, NodeClock::now() + relayTimeout);
     if (!reply.ok()) {
         co_return problemResponse(ErrorKind::PeerUnreachable, messageOf(reply.status()), id);
     }
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -82,6 +82,8 @@
     };
 
     absl::Status prepare(Course &course) const;
+    absl::Status findRoute(Course &course) const;
+    absl::Status findAccount(Course &course) const;
     boost::asio::awaitable<PeerResponse> run(Course &course);
     boost::asio::awaitable<AttemptEvent::Any> attempt(Course &course, unsigned number);
     boost::asio::awaitable<AttemptEvent::Any> queryOutcome(Course &course, bool throughThirdNode);
@@ -96,6 +98,7 @@
     std::optional<std::string> chooseThirdNode(const Course &course);
     PeerView selfView() const;
     RetryBudget &budgetOf(const Course &course);
+    PeerResponse toCallerResponse(Course &course) const;
     PeerResponse failure(const Course &course, ErrorKind kind) const;
 
     boost::asio::any_io_executor executor;
