Follow clang-tidy in document, config and galenarackctl

Change: const references for executors, reserved vectors, append in loops; std::unique in place of std::ranges::unique, whose subrange the clang 14 parser rejects with this standard library. Two false reports on defaulted comparisons are marked.

--- a/galenarack/config/configreader.cpp
+++ b/galenarack/config/configreader.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-ConfigReader::ConfigReader(asio::any_io_executor executor,
+ConfigReader::ConfigReader(const asio::any_io_executor &executor,
                            const ServiceSettings &settings,
                            SectionCache &cache,
                            const RevisionGate &gate,
--- a/galenarack/config/configreader.h
+++ b/galenarack/config/configreader.h
@@ -34,7 +34,7 @@
     /// @param cache takes the section values; must outlive the reader
     /// @param gate tells which manifests are newer; must outlive the reader
     /// @param seed seed of the random source for jitter; different on each node
-    ConfigReader(boost::asio::any_io_executor executor,
+    ConfigReader(const boost::asio::any_io_executor &executor,
                  const ServiceSettings &settings,
                  SectionCache &cache,
                  const RevisionGate &gate,
--- a/galenarack/config/keywatch.cpp
+++ b/galenarack/config/keywatch.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-KeyWatch::KeyWatch(asio::any_io_executor executor, const ServiceSettings &settings, std::string key, std::uint64_t seed)
+KeyWatch::KeyWatch(const asio::any_io_executor &executor, const ServiceSettings &settings, std::string key, std::uint64_t seed)
     : settings(settings)
     , key(std::move(key))
     , random(seed)
@@ -97,7 +97,7 @@
 
 std::string KeyWatch::target(Duration wait) const
 {
-    const std::string path = "/v1/values/" + this->key;
+    std::string path = "/v1/values/" + this->key;
     if (this->etag.empty()) {
         return path;
     }
--- a/galenarack/config/keywatch.h
+++ b/galenarack/config/keywatch.h
@@ -33,7 +33,7 @@
 
     /// @param key key of the service, e.g. "manifest"
     /// @param seed seed of the random source for jitter; different on each node
-    KeyWatch(boost::asio::any_io_executor executor, const ServiceSettings &settings, std::string key, std::uint64_t seed);
+    KeyWatch(const boost::asio::any_io_executor &executor, const ServiceSettings &settings, std::string key, std::uint64_t seed);
 
     /// Watches until stop() is called.
     boost::asio::awaitable<void> run(Handler handler, ReplyCallback replied);
--- a/galenarack/config/manifest.cpp
+++ b/galenarack/config/manifest.cpp
@@ -139,8 +139,7 @@
         }
     }
     std::ranges::sort(digests);
-    const auto repeated = std::ranges::unique(digests);
-    digests.erase(repeated.begin(), repeated.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
     return digests;
 }
 
--- a/galenarack/config/vmlistreader.cpp
+++ b/galenarack/config/vmlistreader.cpp
@@ -6,7 +6,7 @@
 
 namespace Galenarack {
 
-VmListReader::VmListReader(boost::asio::any_io_executor executor,
+VmListReader::VmListReader(const boost::asio::any_io_executor &executor,
                            const ServiceSettings &settings,
                            ListCallback listed,
                            ProblemCallback problem,
--- a/galenarack/config/vmlistreader.h
+++ b/galenarack/config/vmlistreader.h
@@ -22,7 +22,7 @@
     using ProblemCallback = std::function<void(const absl::Status &problem)>;
 
     /// @param seed seed of the random source for jitter; different on each node
-    VmListReader(boost::asio::any_io_executor executor,
+    VmListReader(const boost::asio::any_io_executor &executor,
                  const ServiceSettings &settings,
                  ListCallback listed,
                  ProblemCallback problem,
--- a/galenarack/document/documentchecker.cpp
+++ b/galenarack/document/documentchecker.cpp
@@ -497,7 +497,8 @@
         return causes.empty() ? std::vector{service.place} : causes;
     }
 
-    void addFloorFinding(const std::string &name, const ServiceState &service, std::string field, std::uint32_t wanted, std::uint32_t most)
+    void addFloorFinding(
+        const std::string &name, const ServiceState &service, const std::string &field, std::uint32_t wanted, std::uint32_t most)
     {
         for (const Place &place : this->causesOfFloor(name, service)) {
             this->add(place,
--- a/galenarack/document/documentdiff.h
+++ b/galenarack/document/documentdiff.h
@@ -27,7 +27,7 @@
     std::string before; ///< Only of Changed.
     std::string after; ///< Only of Changed.
 
-    auto operator<=>(const DocumentChange &) const = default;
+    auto operator<=>(const DocumentChange &) const = default; // NOLINT(modernize-use-nullptr): false report of clang-tidy 14
 
     /// @return one line for people and the audit trail
     std::string toString() const;
--- a/galenarack/document/finding.cpp
+++ b/galenarack/document/finding.cpp
@@ -41,8 +41,7 @@
 void sortFindings(std::vector<Finding> &findings)
 {
     std::ranges::sort(findings);
-    const auto repeated = std::ranges::unique(findings);
-    findings.erase(repeated.begin(), repeated.end());
+    findings.erase(std::unique(findings.begin(), findings.end()), findings.end());
 }
 
 } // namespace Galenarack
--- a/galenarack/document/finding.h
+++ b/galenarack/document/finding.h
@@ -18,7 +18,7 @@
     std::string problem; ///< What is wrong.
     std::string allowed; ///< What is allowed.
 
-    auto operator<=>(const Finding &) const = default;
+    auto operator<=>(const Finding &) const = default; // NOLINT(modernize-use-nullptr): false report of clang-tidy 14
 
     /// @return one line for people and logs
     std::string toString() const;
--- a/galenarackctl/documentfiles.cpp
+++ b/galenarackctl/documentfiles.cpp
@@ -136,6 +136,7 @@
 std::vector<SectionVersions> asVersions(const std::vector<FileSection> &sections)
 {
     std::vector<SectionVersions> versions;
+    versions.reserve(sections.size());
     for (const FileSection &section : sections) {
         versions.push_back({section.name, section.content, nullptr});
     }
--- a/galenarackctl/main.cpp
+++ b/galenarackctl/main.cpp
@@ -73,7 +73,7 @@
             value = arguments[i];
         }
         if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
-            return argument + ": not a valid value: '" + value + "'";
+            return std::string(argument).append(": not a valid value: '").append(value).append("'");
         }
     }
     arguments = std::move(rest);
--- a/galenarackctl/manifestcommand.cpp
+++ b/galenarackctl/manifestcommand.cpp
@@ -73,7 +73,7 @@
 {
     const fs::path folder(FLAGS_output_dir);
     for (const std::string &digest : manifest.allDigests()) {
-        if (const absl::Status status = writeFile(folder / "section" / digest, *values.bytes(digest)); !status.ok()) {
+        if (absl::Status status = writeFile(folder / "section" / digest, *values.bytes(digest)); !status.ok()) {
             return status;
         }
     }
--- a/performancetest/targetdocument.h
+++ b/performancetest/targetdocument.h
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Galenarack {
@@ -47,10 +48,12 @@
     const auto addRows = [&sections, rowsPerSection](const std::string &list, unsigned count, auto makeRow) {
         for (unsigned i = 0; i < count; ++i) {
             if (i % rowsPerSection == 0) {
-                const std::string name = list + "-" + std::to_string(i / rowsPerSection);
-                sections.push_back({name,
-                                    "section: " + name + "\nowner: team of " + name
-                                        + "\npurpose: part of the target document\ncontact: " + name + "@example\n" + list + ":\n"});
+                std::string name = list;
+                name.append("-").append(std::to_string(i / rowsPerSection));
+                std::string text = "section: ";
+                text.append(name).append("\nowner: team of ").append(name).append("\npurpose: part of the target document\ncontact: ");
+                text.append(name).append("@example\n").append(list).append(":\n");
+                sections.push_back({std::move(name), std::move(text)});
             }
             sections.back().text += "  - {" + makeRow(i) + "}\n";
         }
--- a/processtests/ctltest.cpp
+++ b/processtests/ctltest.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -78,26 +79,27 @@
             int exitCode;
             std::string output;
         };
-        for (const Case &row :
-             {Case{"check " + this->claims, 0, "ok: 6 sections"},
-              {"check " + two, 1, two + ":8   a        o      rate_per_s  fast   not a number"},
-              {"check " + two, 1, two + ":15  b        q      service     s      unknown service"},
-              {"check --output json " + two, 1, "\"line\": 15,\n    \"field\": \"service\",\n    \"value\": \"s\""},
-              {"check " + two + " " + two, 1, "the section is given twice"},
-              {"check /nonexistent.yaml", 2, "cannot be read"},
-              {"check", 2, "needs at least one file"},
-              {"diff " + this->claims + " " + this->claims, 0, "no difference"},
-              {"diff " + this->claims + " " + two, 1, "donors-1"},
-              {"diff " + two, 2, "diff needs OLD and NEW"},
-              {"manifest " + this->claims, 2, "--fleet is needed"},
-              {"manifest --fleet f " + this->claims, 2, "--revision is needed"},
-              {"manifest --fleet f --revision x " + this->claims, 2, "not a valid value: 'x'"},
-              {"manifest --fleet f --revision 1 --output_dir " + this->folder.string() + " " + two, 1, "nothing is written"},
-              {"check --color " + two, 2, "unknown flag --color"},
-              {"check --output xml " + two, 2, "allowed: text or json"},
-              {"chek", 2, "unknown command chek"},
-              {"", 2, "a command is needed"},
-              {"--help", 0, "check FILE..."}}) {
+        const std::vector<Case> cases
+            = {{"check " + this->claims, 0, "ok: 6 sections"},
+               {"check " + two, 1, two + ":8   a        o      rate_per_s  fast   not a number"},
+               {"check " + two, 1, two + ":15  b        q      service     s      unknown service"},
+               {"check --output json " + two, 1, "\"line\": 15,\n    \"field\": \"service\",\n    \"value\": \"s\""},
+               {"check " + two + " " + two, 1, "the section is given twice"},
+               {"check /nonexistent.yaml", 2, "cannot be read"},
+               {"check", 2, "needs at least one file"},
+               {"diff " + this->claims + " " + this->claims, 0, "no difference"},
+               {"diff " + this->claims + " " + two, 1, "donors-1"},
+               {"diff " + two, 2, "diff needs OLD and NEW"},
+               {"manifest " + this->claims, 2, "--fleet is needed"},
+               {"manifest --fleet f " + this->claims, 2, "--revision is needed"},
+               {"manifest --fleet f --revision x " + this->claims, 2, "not a valid value: 'x'"},
+               {"manifest --fleet f --revision 1 --output_dir " + this->folder.string() + " " + two, 1, "nothing is written"},
+               {"check --color " + two, 2, "unknown flag --color"},
+               {"check --output xml " + two, 2, "allowed: text or json"},
+               {"chek", 2, "unknown command chek"},
+               {"", 2, "a command is needed"},
+               {"--help", 0, "check FILE..."}};
+        for (const Case &row : cases) {
             const CtlRun run = runCtl(row.arguments);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.arguments + "\n" + run.output, row.exitCode, run.exitCode);
             CPPUNIT_ASSERT_MESSAGE(row.arguments + "\n" + run.output, run.output.find(row.output) != std::string::npos);
--- a/unittests/configreadertest.cpp
+++ b/unittests/configreadertest.cpp
@@ -246,7 +246,7 @@
     return "HTTP/1.1 200 OK\r\nETag: \"raw\"\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(sent, '#');
 }
 
-FaultCase rawCase(const char *what, std::string key, std::string bytes, ErrorKind alarm)
+FaultCase rawCase(const char *what, const std::string &key, const std::string &bytes, ErrorKind alarm)
 {
     return {what,
             [key, bytes](Rig &rig) {
--- a/unittests/configsupport.h
+++ b/unittests/configsupport.h
@@ -46,7 +46,7 @@
 {
     std::string list = "routes:\n";
     for (const std::string &service : services) {
-        list += "  - {prefix: /" + service + ", service: " + service + std::string(extra) + "}\n";
+        list.append("  - {prefix: /").append(service).append(", service: ").append(service).append(extra).append("}\n");
     }
     return sectionText("routes", list);
 }
@@ -64,7 +64,7 @@
 {
     Manifest manifest{"test", revision, {}};
     const auto store = [&cache](const std::string &text) {
-        const std::string digest = text.empty() ? std::string() : sha256Hex(text);
+        std::string digest = text.empty() ? std::string() : sha256Hex(text);
         CPPUNIT_ASSERT(text.empty() || cache.put(digest, text).ok());
         return digest;
     };
--- a/unittests/documentparsertest.cpp
+++ b/unittests/documentparsertest.cpp
@@ -113,7 +113,7 @@
     void garbageIsAnErrorAndNoCrash()
     {
         const std::string texts[] = {"",
-                                     "\0\xff\xfe",
+                                     std::string(3, '\0') + "\xff\xfe",
                                      "text",
                                      "- 1",
                                      "{",
--- a/unittests/revisiongatetest.cpp
+++ b/unittests/revisiongatetest.cpp
@@ -119,9 +119,9 @@
 {
     Publisher publisher;
     publisher.publish({{"services", servicesText({2, 1})}, {"u", upstreamsText("u", "s0", 6)}, {"routes", routesText({"s0"})}});
-    std::vector<std::unique_ptr<TestNode>> nodes;
-    for (int i = 0; i < 3; ++i) {
-        nodes.push_back(std::make_unique<TestNode>(hasGate));
+    std::vector<std::unique_ptr<TestNode>> nodes(3);
+    for (auto &node : nodes) {
+        node = std::make_unique<TestNode>(hasGate);
     }
     std::map<std::uint64_t, std::string> digests; // Digest of the document by accepted revision, over all nodes.
     for (const Event &event : events) {
