Report the service's reply after its manifest was handled

Cause: the reader reported the reply before it had fetched the sections, so a starting node with a peer's older document in force could be allowed to serve with it (P7). Change: the callback comes after the manifest was handed over.

--- a/galenarack/config/configreader.h
+++ b/galenarack/config/configreader.h
@@ -19,7 +19,7 @@
     /// A manifest arrived, and its sections are in the cache as far as they could be had. Offer it to the gate.
     /// @param source "service" or the name of the peer
     std::function<void(std::string_view source, std::string_view manifestJson)> manifest;
-    std::function<void(bool replied)> service; ///< The service replied to a watch, or did not.
+    std::function<void(bool replied)> service; ///< The service replied and its manifest was handed over, or it did not reply.
     std::function<void(const absl::Status &problem)> problem; ///< A section could not be had.
 };
 
--- a/galenarack/config/keywatch.cpp
+++ b/galenarack/config/keywatch.cpp
@@ -20,6 +20,10 @@
 /// or else a node would call without a pause.
 constexpr Duration shortestWatch = std::chrono::milliseconds(200);
 
+/// A key that does not exist yet cannot be watched. 660 nodes then make at most 660 / 1 s calls a second on average, a third of the
+/// limit of the service, and a first manifest is in force within the 5 s of P7.
+constexpr Duration longestAbsentPause = std::chrono::seconds(2);
+
 /// Doublings after which the pause no longer grows, whatever the settings.
 constexpr unsigned maxDoublings = 16;
 
@@ -131,10 +135,19 @@
     const bool isUsable
         = reply.ok()
           && (reply->status == httpOk || reply->status == httpNotFound || (reply->status == httpNotModified && !this->etag.empty()));
-    replied(isUsable);
     const bool isChange = isUsable && reply->status == httpOk && (this->etag.empty() || reply->etag != this->etag);
     if (isChange) {
         co_await this->takeReply(handler, std::move(*reply));
+    }
+    // A reply counts when its value has been handled: a node must not start on older content that a peer gave it meanwhile.
+    if (!this->stopped) {
+        replied(isUsable);
+    }
+    if (isChange) {
+        if (this->etag.empty()) {
+            // Without an ETag there is nothing to watch for, so the value is read again after a pause.
+            co_await this->pause(this->settings.retryMax);
+        }
         co_return;
     }
     if (!isUsable) {
@@ -148,7 +161,9 @@
     } else if (reply->status == httpNotModified) {
         this->failuresInRow = 0;
     }
-    if (reply->status != httpNotModified || NodeClock::now() - start < shortestWatch) {
+    if (reply->status == httpNotFound) {
+        co_await this->pauseUpTo(std::min(this->settings.retryMax, longestAbsentPause));
+    } else if (reply->status != httpNotModified || NodeClock::now() - start < shortestWatch) {
         co_await this->pause(this->backoff());
     }
 }
@@ -159,10 +174,6 @@
     this->etag = reply.etag;
     this->value = std::move(reply.body);
     co_await this->handOver(handler);
-    if (this->etag.empty()) {
-        // Without an ETag there is nothing to watch for, so the value is read again after a pause.
-        co_await this->pause(this->settings.retryMax);
-    }
 }
 
 asio::awaitable<void> KeyWatch::handOver(const Handler &handler)
--- a/galenarack/config/keywatch.h
+++ b/galenarack/config/keywatch.h
@@ -28,7 +28,7 @@
     /// @return whether all is done; otherwise the handler is called again with the same value after a pause
     using Handler = std::function<boost::asio::awaitable<bool>(std::string value)>;
 
-    /// Told about each call: whether the service replied.
+    /// Told about each watch, once the handler is done with a new value: whether the service replied.
     using ReplyCallback = std::function<void(bool replied)>;
 
     /// @param key key of the service, e.g. "manifest"
--- a/galenarack/config/startrule.h
+++ b/galenarack/config/startrule.h
@@ -37,7 +37,8 @@
     /// A peer is being queried.
     void peerAsked(std::string_view peer, std::string_view failureDomain);
 
-    /// The peer replied, or the query failed or timed out. A later reply replaces a failure.
+    /// The peer replied, or the query failed or timed out. A later reply replaces a failure. Tell the gate the peer's revision first
+    /// (RevisionGate::hear()), so that the node waits for it.
     void peerReplied(std::string_view peer);
     void peerFailed(std::string_view peer);
 
--- a/unittests/configreadertest.cpp
+++ b/unittests/configreadertest.cpp
@@ -145,6 +145,7 @@
         };
         callbacks.service = [this](bool replied) {
             (replied ? this->replies : this->noReplies)++;
+            this->revisionsAtReply.push_back(this->gate.revision());
         };
         callbacks.problem = [this](const absl::Status &problem) {
             this->problems.push_back(problem);
@@ -223,6 +224,7 @@
     std::vector<GateResult> results;
     std::vector<absl::Status> problems;
     std::vector<std::vector<VmEntry>> lists;
+    std::vector<std::uint64_t> revisionsAtReply; ///< Revision in force at each call of the service callback.
     int replies = 0;
     int noReplies = 0;
     std::shared_ptr<ConfigReader> reader;
@@ -323,6 +325,7 @@
 {
     CPPUNIT_TEST_SUITE(ConfigReaderTest);
     CPPUNIT_TEST(faultsOfTheServiceChangeNothing);
+    CPPUNIT_TEST(replyCountsOnceItsManifestIsInForce);
     CPPUNIT_TEST(callsAreOneWatchAndTheChangedSections);
     CPPUNIT_TEST(peersReplaceTheService);
     CPPUNIT_TEST(vmListIsWatched);
@@ -357,6 +360,14 @@
         }
     }
 
+    /// Guards against a node that begins to serve with a peer's older revision while it fetches the sections of the service's.
+    void replyCountsOnceItsManifestIsInForce()
+    {
+        Rig rig;
+        rig.startWithRevision5();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, rig.revisionsAtReply.front());
+    }
+
     /// Guards against calls that use up the limit of the service: 660 nodes may make about 2,000 a second together.
     void callsAreOneWatchAndTheChangedSections()
     {
