--- a/processtests/standinstest.cpp
+++ b/processtests/standinstest.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(StandInsTest);
     CPPUNIT_TEST(configServiceModes);
+    CPPUNIT_TEST(configServicePortsDiffer);
     CPPUNIT_TEST(watchReturnsOnChangeOnly);
     CPPUNIT_TEST(upstreamFaults);
     CPPUNIT_TEST(upstreamRefusesLateWorkAndNoticesCancellation);
@@ -53,6 +54,22 @@
         CPPUNIT_ASSERT_EQUAL(4, service.control("GET", "/calls")["keys"]["section/a"].get<int>());
     }
 
+    /// Guards against a mode or a value of one port that also reaches the readers of another.
+    void configServicePortsDiffer()
+    {
+        const StandInProcess service("standin-configservice", {"--listen=127.0.0.1:0,127.0.0.1:0"}, this->errorFile());
+        service.control("PUT", "/values/vms", "old");
+        service.control("PUT", "/values/manifest", "one");
+        service.control("PUT", "/views/0/vms", "view");
+        service.control("POST", "/mode/stale?port=0");
+        service.control("PUT", "/values/vms", "new");
+        service.control("PUT", "/values/manifest", "two");
+        CPPUNIT_ASSERT_EQUAL(std::string("view"), read(service, "vms", 300ms, 0).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), read(service, "manifest", 300ms, 0).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), read(service, "vms", 300ms, 1).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), read(service, "manifest", 300ms, 1).body);
+    }
+
     /// Guards against a watch that returns early, late or not at all.
     void watchReturnsOnChangeOnly()
     {
@@ -205,12 +222,15 @@
     }
 
 private:
-    static TestReply read(const StandInProcess &service, const std::string &keyAndQuery, std::chrono::milliseconds timeout)
+    static TestReply read(const StandInProcess &service,
+                          const std::string &keyAndQuery,
+                          std::chrono::milliseconds timeout,
+                          std::size_t port = 0)
     {
         TestRequest request;
         request.target = "/v1/values/" + keyAndQuery;
         request.timeout = timeout;
-        return sendRequest(service.addresses()["listen"].get<std::string>(), request);
+        return sendRequest(service.addresses()["listen"][port].get<std::string>(), request);
     }
 
     /// Sends a request with id and key to the first upstream of the process.
--- a/standins/common/httpserver.cpp
+++ b/standins/common/httpserver.cpp
@@ -81,4 +81,13 @@
     this->connections.erase(socket);
 }
 
+asio::awaitable<HttpResponse> answerAsJson(const HttpRequest &request, std::function<nlohmann::json(const HttpRequest &)> command)
+{
+    try {
+        co_return makeResponse(request, 200, "application/json", command(request).dump());
+    } catch (const std::exception &error) {
+        co_return makeResponse(request, 400, "text/plain", std::string(error.what()) + "\n");
+    }
+}
+
 } // namespace Galenarack::StandIns
--- a/standins/common/httpserver.h
+++ b/standins/common/httpserver.h
@@ -5,6 +5,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -46,4 +48,7 @@
     std::set<SocketPointer> connections;
 };
 
+/// Answers a control request with the JSON that `command` returns, or with status 400 and the text of its exception.
+boost::asio::awaitable<HttpResponse> answerAsJson(const HttpRequest &request, std::function<nlohmann::json(const HttpRequest &)> command);
+
 } // namespace Galenarack::StandIns
--- a/standins/configservice/configservice.cpp
+++ b/standins/configservice/configservice.cpp
@@ -1,12 +1,10 @@
 #include "configservice.h"
 
-#include <galenarack/core/scopeguard.h>
-
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <array>
-#include <cstdlib>
+#include <stdexcept>
+#include <string>
 
 namespace Galenarack::StandIns {
 
@@ -15,11 +13,9 @@
 
 namespace {
 
-constexpr std::string_view readerPrefix = "/v1/values/";
-constexpr std::string_view controlPrefix = "/values/";
+constexpr std::string_view valuePrefix = "/values/";
+constexpr std::string_view viewPrefix = "/views/";
 constexpr std::string_view modePrefix = "/mode/";
-constexpr double maxWaitSeconds = 60.0;
-constexpr std::string_view plainText = "text/plain";
 
 constexpr std::array<std::pair<std::string_view, ServiceMode>, 4> modeNames = {{
     {"normal", ServiceMode::Normal},
@@ -28,184 +24,104 @@
     {"stale", ServiceMode::Stale},
 }};
 
-/// Entity tag of an `after` parameter, with or without quotes.
-std::string bareTag(std::string text)
+ServiceMode modeFromName(std::string_view name)
 {
-    std::erase(text, '"');
-    return text;
+    for (const auto &[known, mode] : modeNames) {
+        if (known == name) {
+            return mode;
+        }
+    }
+    throw std::invalid_argument("unknown mode " + std::string(name));
 }
 
-} // namespace
-
-ConfigService::ConfigService(asio::io_context &context, const Settings &settings)
-    : context(context)
-    , maxCallsPerSecond(settings.maxCallsPerSecond)
-    , callTokens(settings.maxCallsPerSecond)
-    , readers(context,
-              settings.listen,
-              [this](const HttpRequest &request) {
-                  return this->answerReader(request);
-              })
-    , control(context, settings.control, [this](const HttpRequest &request) {
-        return this->answerControl(request);
-    })
+[[noreturn]] void refuseLongValue()
 {
+    throw std::length_error("a value holds at most 1 MB");
 }
 
-void ConfigService::start()
-{
-    this->readers.open();
-    this->control.open();
-}
+} // namespace
 
-asio::awaitable<HttpResponse> ConfigService::answerReader(const HttpRequest &request)
+ConfigService::ConfigService(asio::io_context &context, const Settings &settings)
+    : counter(settings.maxCallsPerSecond)
+    , control(context, settings.control, [this](const HttpRequest &request) -> asio::awaitable<HttpResponse> {
+        return answerAsJson(request, [this](const HttpRequest &command) {
+            return this->answerControl(command);
+        });
+    })
 {
-    const Target target(request.target());
-    if (request.method() != http::verb::get || !target.path.starts_with(readerPrefix)) {
-        co_return makeResponse(request, 404, plainText, "only GET /v1/values/KEY is served\n");
-    }
-    const std::string key = target.path.substr(readerPrefix.size());
-    ++this->calls;
-    ++this->callsByKey[key];
-    if (!this->takeCallToken()) {
-        ++this->refusedCalls;
-        HttpResponse refused = makeResponse(request, 429, plainText, "too many calls\n");
-        refused.set(http::field::retry_after, "1");
-        co_return refused;
-    }
-
-    const double wait = std::clamp(std::atof(target.parameter("wait", "0").c_str()), 0.0, maxWaitSeconds);
-    const Deadline deadline = std::chrono::steady_clock::now() + std::chrono::microseconds(static_cast<std::int64_t>(wait * 1e6));
-    const std::string after = bareTag(target.parameter("after"));
-    while (true) {
-        if (this->mode == ServiceMode::Frozen) {
-            co_await this->waitForChange(Deadline::max());
-            continue;
-        }
-        const StoredValue *value = this->values.find(key);
-        const bool changed = value != nullptr ? value->tag != after : !after.empty();
-        if (changed) {
-            co_return this->valueResponse(request, value);
-        }
-        if (std::chrono::steady_clock::now() >= deadline) {
-            break;
-        }
-        co_await this->waitForChange(deadline);
-    }
-    const StoredValue *value = this->values.find(key);
-    if (value == nullptr) {
-        co_return this->valueResponse(request, nullptr);
+    for (const Tcp::endpoint &endpoint : settings.listen) {
+        this->ports.emplace_back(context, endpoint, this->values, this->counter);
     }
-    HttpResponse unchanged(http::status::not_modified, request.version());
-    unchanged.keep_alive(request.keep_alive());
-    unchanged.set(http::field::etag, '"' + value->tag + '"');
-    co_return unchanged;
 }
 
-HttpResponse ConfigService::valueResponse(const HttpRequest &request, const StoredValue *value) const
+void ConfigService::start()
 {
-    if (value == nullptr) {
-        return makeResponse(request, 404, plainText, "no such key\n");
+    for (ReaderPort &port : this->ports) {
+        port.open();
     }
-    HttpResponse response = makeResponse(request, 200, "application/octet-stream", value->body);
-    response.set(http::field::etag, '"' + value->tag + '"');
-    return response;
+    this->control.open();
 }
 
-asio::awaitable<HttpResponse> ConfigService::answerControl(const HttpRequest &request)
+nlohmann::json ConfigService::answerControl(const HttpRequest &request)
 {
     const Target target(request.target());
-    if (target.path == "/calls") {
-        co_return this->answerCalls(request);
-    }
-    if (target.path.starts_with(controlPrefix)) {
-        co_return this->answerValueChange(request, target.path.substr(controlPrefix.size()));
+    if (target.path.starts_with(valuePrefix)) {
+        this->changeValue(request, target.path.substr(valuePrefix.size()));
+    } else if (target.path.starts_with(viewPrefix)) {
+        this->changeView(request, std::string_view(target.path).substr(viewPrefix.size()));
+    } else if (target.path.starts_with(modePrefix)) {
+        this->changeMode(target);
+    } else if (target.path != "/calls") {
+        throw std::invalid_argument("unknown command " + target.path);
     }
-    if (request.method() == http::verb::post && target.path.starts_with(modePrefix)) {
-        const std::string name = target.path.substr(modePrefix.size());
-        const auto row = std::find_if(modeNames.begin(), modeNames.end(), [&name](const auto &candidate) {
-            return candidate.first == name;
-        });
-        if (row != modeNames.end()) {
-            this->setMode(row->second);
-            co_return makeResponse(request, 200, plainText, "ok\n");
-        }
-    }
-    co_return makeResponse(request, 404, plainText, "no such control\n");
+    return this->callCounts();
 }
 
-HttpResponse ConfigService::answerValueChange(const HttpRequest &request, const std::string &key)
+void ConfigService::changeValue(const HttpRequest &request, const std::string &key)
 {
-    if (request.method() == http::verb::put) {
-        if (!this->values.put(key, request.body())) {
-            return makeResponse(request, 413, plainText, "a value holds at most 1 MB\n");
-        }
-    } else if (request.method() == http::verb::delete_) {
+    if (request.method() == http::verb::delete_) {
         this->values.remove(key);
-    } else {
-        return makeResponse(request, 405, plainText, "PUT or DELETE\n");
+    } else if (request.method() != http::verb::put) {
+        throw std::invalid_argument("PUT or DELETE");
+    } else if (!this->values.put(key, request.body())) {
+        refuseLongValue();
+    }
+    for (ReaderPort &port : this->ports) {
+        port.wakeWaiters();
     }
-    this->wakeWaiters();
-    return makeResponse(request, 200, plainText, "ok\n");
-}
-
-HttpResponse ConfigService::answerCalls(const HttpRequest &request) const
-{
-    const nlohmann::json counts = {
-        {"total", this->calls},
-        {"refused", this->refusedCalls},
-        {"waiting", this->waiters.size()},
-        {"keys", this->callsByKey},
-    };
-    return makeResponse(request, 200, "application/json", counts.dump());
-}
-
-asio::awaitable<void> ConfigService::waitForChange(Deadline deadline)
-{
-    asio::steady_timer timer(this->context);
-    this->waiters.insert(&timer);
-    const ScopeGuard removal([this, &timer] {
-        this->waiters.erase(&timer);
-    });
-    const auto now = std::chrono::steady_clock::now();
-    // An hour stands for no limit: expires_after() overflows with Deadline::max().
-    co_await sleepFor(timer, deadline == Deadline::max() ? std::chrono::hours(1) : deadline - now);
 }
 
-void ConfigService::wakeWaiters()
+void ConfigService::changeView(const HttpRequest &request, std::string_view indexAndKey)
 {
-    for (asio::steady_timer *timer : this->waiters) {
-        timer->cancel();
+    const auto [index, key] = splitOnce(indexAndKey, '/');
+    if (!this->ports.at(std::stoul(std::string(index))).override(std::string(key), request.body())) {
+        refuseLongValue();
     }
 }
 
-void ConfigService::setMode(ServiceMode mode)
+void ConfigService::changeMode(const Target &target)
 {
-    if (this->mode == ServiceMode::Down && mode != ServiceMode::Down) {
-        this->readers.open();
-    }
-    if (this->mode != ServiceMode::Down && mode == ServiceMode::Down) {
-        this->readers.close();
+    const ServiceMode mode = modeFromName(std::string_view(target.path).substr(modePrefix.size()));
+    const std::string only = target.parameter("port");
+    for (std::size_t i = 0; i < this->ports.size(); ++i) {
+        if (only.empty() || only == std::to_string(i)) {
+            this->ports[i].setMode(mode);
+        }
     }
-    this->mode = mode;
-    this->values.hold(mode == ServiceMode::Stale);
-    this->wakeWaiters();
 }
 
-bool ConfigService::takeCallToken()
+nlohmann::json ConfigService::callCounts() const
 {
-    if (this->maxCallsPerSecond <= 0.0) {
-        return true;
+    std::size_t waiting = 0;
+    for (const ReaderPort &port : this->ports) {
+        waiting += port.waiting();
     }
-    const auto now = std::chrono::steady_clock::now();
-    const double elapsed = std::chrono::duration<double>(now - this->tokensUpdated).count();
-    this->tokensUpdated = now;
-    this->callTokens = std::min(this->maxCallsPerSecond, this->callTokens + elapsed * this->maxCallsPerSecond);
-    if (this->callTokens < 1.0) {
-        return false;
-    }
-    this->callTokens -= 1.0;
-    return true;
+    return {
+        {"total", this->counter.calls},
+        {"refused", this->counter.refused},
+        {"waiting", waiting},
+        {"keys", this->counter.callsByKey},
+    };
 }
 
 } // namespace Galenarack::StandIns
--- a/standins/configservice/configservice.h
+++ b/standins/configservice/configservice.h
@@ -1,50 +1,38 @@
 #pragma once
 
-#include "valuestore.h"
+#include "readerport.h"
 
-#include <standins/common/httpserver.h>
-
-#include <chrono>
-#include <memory>
-#include <optional>
-#include <set>
+#include <deque>
+#include <vector>
 
 namespace Galenarack::StandIns {
 
-/// How the service answers its readers.
-enum class ServiceMode : std::uint8_t {
-    Normal,
-    Frozen, ///< Accepts connections and requests and never replies.
-    Down, ///< Refuses connections.
-    Stale, ///< Serves the values as of the change to this mode.
-};
-
 /// Configuration service with VM list: readers can read and watch values, the control port changes them.
 ///
-/// Readers: GET /v1/values/KEY[?after=ETAG&wait=SECONDS]
-/// Control: PUT or DELETE /values/KEY, POST /mode/{normal,frozen,down,stale}, GET /calls
+/// Control: PUT or DELETE /values/KEY, POST /mode/{normal,frozen,down,stale}[?port=INDEX], GET /calls,
+/// PUT /views/INDEX/KEY to replace a value for the readers of one port.
 class ConfigService
 {
 public:
     struct Settings
     {
-        Tcp::endpoint listen;
+        std::vector<Tcp::endpoint> listen;
         Tcp::endpoint control;
-        double maxCallsPerSecond = 0.0; ///< Further calls get 429; 0 means no limit.
+        double maxCallsPerSecond = 0.0; ///< Over all ports; further calls get 429; 0 means no limit.
     };
 
     ConfigService(boost::asio::io_context &context, const Settings &settings);
 
-    /// Opens both ports.
+    /// Opens all ports.
     void start();
 
     ValueStore &store()
     {
         return this->values;
     }
-    const Tcp::endpoint &readerAddress() const
+    const std::deque<ReaderPort> &readerPorts() const
     {
-        return this->readers.address();
+        return this->ports;
     }
     const Tcp::endpoint &controlAddress() const
     {
@@ -52,31 +40,16 @@
     }
 
 private:
-    using Deadline = std::chrono::steady_clock::time_point;
-
-    boost::asio::awaitable<HttpResponse> answerReader(const HttpRequest &request);
-    boost::asio::awaitable<HttpResponse> answerControl(const HttpRequest &request);
-    HttpResponse answerValueChange(const HttpRequest &request, const std::string &key);
-    HttpResponse answerCalls(const HttpRequest &request) const;
-    HttpResponse valueResponse(const HttpRequest &request, const StoredValue *value) const;
-
-    /// Waits until a change may have happened or `deadline` has passed.
-    boost::asio::awaitable<void> waitForChange(Deadline deadline);
-    void wakeWaiters();
-    void setMode(ServiceMode mode);
-    bool takeCallToken();
+    /// @throws std::exception when the command is not valid
+    nlohmann::json answerControl(const HttpRequest &request);
+    void changeValue(const HttpRequest &request, const std::string &key);
+    void changeView(const HttpRequest &request, std::string_view indexAndKey);
+    void changeMode(const Target &target);
+    nlohmann::json callCounts() const;
 
-    boost::asio::io_context &context;
-    double maxCallsPerSecond;
     ValueStore values;
-    ServiceMode mode = ServiceMode::Normal;
-    std::set<boost::asio::steady_timer *> waiters;
-    std::map<std::string, std::uint64_t> callsByKey;
-    std::uint64_t calls = 0;
-    std::uint64_t refusedCalls = 0;
-    double callTokens;
-    Deadline tokensUpdated = std::chrono::steady_clock::now();
-    HttpServer readers;
+    CallCounter counter;
+    std::deque<ReaderPort> ports;
     HttpServer control;
 };
 
--- a/standins/configservice/main.cpp
+++ b/standins/configservice/main.cpp
@@ -7,7 +7,7 @@
 
 #include <optional>
 
-DEFINE_string(listen, "127.0.0.1:0", "address for readers, IPv4:port");
+DEFINE_string(listen, "127.0.0.1:0", "addresses for readers, IPv4:port,...; each has a mode of its own");
 DEFINE_string(control, "127.0.0.1:0", "address of the control port, IPv4:port");
 DEFINE_string(values_folder, "", "folder whose files are loaded at start; the key is the relative path");
 DEFINE_double(max_calls_per_s, 0.0, "calls a second over all readers; more get 429; 0 means no limit");
@@ -20,15 +20,21 @@
     boost::asio::io_context context(1);
     std::optional<ConfigService> service;
     runProgram("standin-configservice", context, [&] {
-        service.emplace(context, ConfigService::Settings{parseEndpoint(FLAGS_listen), parseEndpoint(FLAGS_control), FLAGS_max_calls_per_s});
+        ConfigService::Settings settings;
+        for (const std::string &address : splitList(FLAGS_listen, ',')) {
+            settings.listen.push_back(parseEndpoint(address));
+        }
+        settings.control = parseEndpoint(FLAGS_control);
+        settings.maxCallsPerSecond = FLAGS_max_calls_per_s;
+        service.emplace(context, settings);
         if (!FLAGS_values_folder.empty()) {
             service->store().load(FLAGS_values_folder);
         }
         service->start();
-        const nlohmann::json addresses = {
-            {"listen", endpointText(service->readerAddress())},
-            {"control", endpointText(service->controlAddress())},
-        };
+        nlohmann::json addresses = {{"control", endpointText(service->controlAddress())}};
+        for (const ReaderPort &port : service->readerPorts()) {
+            addresses["listen"].push_back(endpointText(port.address()));
+        }
         announce(addresses.dump());
     });
 }
--- a/standins/configservice/valuestore.cpp
+++ b/standins/configservice/valuestore.cpp
@@ -14,13 +14,13 @@
         return false;
     }
     std::string tag = sha256Hex(body);
-    this->latest[key] = StoredValue{std::move(body), std::move(tag)};
+    this->values[key] = StoredValue{std::move(body), std::move(tag)};
     return true;
 }
 
 void ValueStore::remove(const std::string &key)
 {
-    this->latest.erase(key);
+    this->values.erase(key);
 }
 
 void ValueStore::load(const std::filesystem::path &folder)
@@ -37,19 +37,10 @@
     }
 }
 
-void ValueStore::hold(bool held)
-{
-    if (held && !this->held) {
-        this->heldValues = this->latest;
-    }
-    this->held = held;
-}
-
 const StoredValue *ValueStore::find(std::string_view key) const
 {
-    const Values &values = this->held ? this->heldValues : this->latest;
-    const auto found = values.find(key);
-    return found == values.end() ? nullptr : &found->second;
+    const auto found = this->values.find(key);
+    return found == this->values.end() ? nullptr : &found->second;
 }
 
 } // namespace Galenarack::StandIns
--- a/standins/configservice/valuestore.h
+++ b/standins/configservice/valuestore.h
@@ -18,7 +18,7 @@
     std::string tag; ///< SHA-256 of the body in hexadecimal digits, without quotes.
 };
 
-/// Values by key, with a served copy that can be held while new values are put.
+/// Values by key.
 class ValueStore
 {
 public:
@@ -31,18 +31,11 @@
     /// @throws std::runtime_error when a file exceeds maxValueBytes
     void load(const std::filesystem::path &folder);
 
-    /// While held, find() returns the values as of the call of hold(true).
-    void hold(bool held);
-
-    /// @return the served value, or null
+    /// @return the value, or null
     const StoredValue *find(std::string_view key) const;
 
 private:
-    using Values = std::map<std::string, StoredValue, std::less<>>;
-
-    Values latest;
-    Values heldValues;
-    bool held = false;
+    std::map<std::string, StoredValue, std::less<>> values;
 };
 
 } // namespace Galenarack::StandIns
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -26,7 +26,9 @@
 public:
     explicit RelayProcess(boost::asio::io_context &context)
         : control(context, parseEndpoint(FLAGS_control), [this](const HttpRequest &request) {
-            return this->answer(request);
+            return answerAsJson(request, [this](const HttpRequest &command) {
+                return this->answer(command);
+            });
         })
     {
         for (const std::string &part : splitList(FLAGS_relays, ',')) {
@@ -47,22 +49,18 @@
     }
 
 private:
-    boost::asio::awaitable<HttpResponse> answer(const HttpRequest &request)
+    nlohmann::json answer(const HttpRequest &request)
     {
         constexpr std::string_view prefix = "/relays/";
-        try {
-            const Target target(request.target());
-            if (request.method() == boost::beast::http::verb::post && target.path.starts_with(prefix)) {
-                change(this->relays.at(target.path.substr(prefix.size())), nlohmann::json::parse(request.body()));
-            }
-            nlohmann::json states;
-            for (const auto &[name, relay] : this->relays) {
-                states[name] = {{"open", relay.openConnections()}, {"accepted", relay.acceptedConnections()}};
-            }
-            co_return makeResponse(request, 200, "application/json", states.dump());
-        } catch (const std::exception &error) {
-            co_return makeResponse(request, 400, "text/plain", std::string(error.what()) + "\n");
+        const Target target(request.target());
+        if (request.method() == boost::beast::http::verb::post && target.path.starts_with(prefix)) {
+            change(this->relays.at(target.path.substr(prefix.size())), nlohmann::json::parse(request.body()));
         }
+        nlohmann::json states;
+        for (const auto &[name, relay] : this->relays) {
+            states[name] = {{"open", relay.openConnections()}, {"accepted", relay.acceptedConnections()}};
+        }
+        return states;
     }
 
     static void change(Relay &relay, const nlohmann::json &change)
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -30,7 +30,9 @@
 public:
     explicit UpstreamProcess(boost::asio::io_context &context)
         : control(context, parseEndpoint(FLAGS_control), [this](const HttpRequest &request) {
-            return this->answer(request);
+            return answerAsJson(request, [this](const HttpRequest &command) {
+                return this->answer(command);
+            });
         })
     {
         UpstreamSettings settings;
@@ -54,16 +56,7 @@
     }
 
 private:
-    boost::asio::awaitable<HttpResponse> answer(const HttpRequest &request)
-    {
-        try {
-            co_return makeResponse(request, 200, "application/json", this->answerBody(request).dump());
-        } catch (const std::exception &error) {
-            co_return makeResponse(request, 400, "text/plain", std::string(error.what()) + "\n");
-        }
-    }
-
-    nlohmann::json answerBody(const HttpRequest &request)
+    nlohmann::json answer(const HttpRequest &request)
     {
         const Target target(request.target());
         if (target.path == "/runs") {
