Name closures that a coroutine awaits with

Cause: every node of a fleet of three ended within seconds with 'double free detected in tcache 2' as soon as it fetched a revision from a peer. g++ 12 destroys the captures of a closure that is a temporary of a co_await expression twice; valgrind names ConfigFollower::fetchValue and the closure's string. Change: the closures with captures that own memory are named before the co_await, in ConfigFollower::fetchValue and RequestForwarder::relayOutcome. The two others of this form capture references and pointers only. Ruled out: a fault in PeerClient, whose parameter is destroyed once.

--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -406,12 +406,11 @@
         co_return co_await this->home.outcome(call);
     }
     constexpr Duration relayTimeout = std::chrono::seconds(10);
-    auto reply = co_await this->peers.request(
-        vm,
-        [call](const PeerView &) {
-            return call->request;
-        },
-        NodeClock::now() + relayTimeout);
+    // Not a temporary of the co_await expression: g++ 12 destroys the captures of such a closure twice.
+    std::function<PeerRequest(const PeerView &)> makeRequest = [call](const PeerView &) {
+        return call->request;
+    };
+    auto reply = co_await this->peers.request(vm, std::move(makeRequest), NodeClock::now() + relayTimeout);
     if (!reply.ok()) {
         co_return problemResponse(ErrorKind::PeerUnreachable, messageOf(reply.status()), id);
     }
--- a/galenarack/node/configfollower.cpp
+++ b/galenarack/node/configfollower.cpp
@@ -195,15 +195,14 @@
 
 asio::awaitable<absl::StatusOr<std::string>> ConfigFollower::fetchValue(std::string vm, std::string path)
 {
-    auto reply = co_await this->peers.request(
-        vm,
-        [path](const PeerView &) {
-            PeerRequest request;
-            request.method = "GET";
-            request.path = path;
-            return request;
-        },
-        NodeClock::now() + peerTimeout);
+    // Not a temporary of the co_await expression: g++ 12 destroys the captures of such a closure twice.
+    std::function<PeerRequest(const PeerView &)> makeRequest = [path](const PeerView &) {
+        PeerRequest request;
+        request.method = "GET";
+        request.path = path;
+        return request;
+    };
+    auto reply = co_await this->peers.request(vm, std::move(makeRequest), NodeClock::now() + peerTimeout);
     if (!reply.ok()) {
         co_return reply.status();
     }
