Check the caller's account when a key is issued

Cause: POST /.galenarack/keys looked up the account 'anonymous' whatever the caller's headers said, so a fleet whose document has accounts issued no key: 403 account-unknown. Found by processtests executiontest. Change: issueKey() takes the caller's headers with the method and path. Ruled out: no check of the account, which would let an unknown caller mint keys.

--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -217,7 +217,11 @@
 {
     if (request.target.starts_with(controlPrefix)) {
         if (request.method == "POST" && (request.target == keysPath || request.target.starts_with(std::string(keysPath) + "?"))) {
-            co_return co_await this->forwarder.issueKey(queryParameter(request.target, "method"), queryParameter(request.target, "path"));
+            CallerRequest wanted;
+            wanted.method = queryParameter(request.target, "method");
+            wanted.target = queryParameter(request.target, "path");
+            wanted.headers = std::move(request.headers);
+            co_return co_await this->forwarder.issueKey(std::move(wanted));
         }
         co_return problemResponse(ErrorKind::RouteNotFound, "the path is reserved", "");
     }
--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -366,11 +366,10 @@
     return problemResponse(kind, course.detail, course.id.toString());
 }
 
-asio::awaitable<PeerResponse> RequestForwarder::issueKey(std::string method, std::string path)
+asio::awaitable<PeerResponse> RequestForwarder::issueKey(CallerRequest wanted)
 {
     Course course;
-    course.request.method = std::move(method);
-    course.request.target = std::move(path);
+    course.request = std::move(wanted);
     course.received = NodeClock::now();
     course.document = this->document();
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -45,8 +45,9 @@
     /// @return the response for the caller; errors are problem+json (RFC 9457)
     boost::asio::awaitable<PeerResponse> forward(CallerRequest request, std::shared_ptr<Cancellation> cancellation);
 
-    /// Issues an idempotency key for the route of `method` and `path`, bound to a home that can be reached now.
-    boost::asio::awaitable<PeerResponse> issueKey(std::string method, std::string path);
+    /// Issues an idempotency key for the route of the method and target, bound to a home that can be reached now.
+    /// @param wanted the request that the key is for; its headers name the account
+    boost::asio::awaitable<PeerResponse> issueKey(CallerRequest wanted);
 
     /// Answers an outcome query of another ingress that cannot reach the home itself.
     boost::asio::awaitable<PeerResponse> relayOutcome(std::shared_ptr<PeerCall> call);
