--- a/processtests/support/fleetfixture.cpp
+++ b/processtests/support/fleetfixture.cpp
@@ -187,7 +187,12 @@
     TestRequest request;
     request.method = "POST";
     request.target = "/.galenarack/keys?path=" + path + "&method=POST";
-    return StandIns::jsonStringMember(this->call(node, request).body, "key");
+    const TestReply reply = this->call(node, request);
+    std::string key = StandIns::jsonStringMember(reply.body, "key");
+    if (key.empty()) {
+        throw std::runtime_error("no key was issued: " + reply.describe());
+    }
+    return key;
 }
 
 void FleetFixture::setSection(const std::string &name, const std::string &yaml)
--- a/processtests/support/fleetfixture.h
+++ b/processtests/support/fleetfixture.h
@@ -65,7 +65,8 @@
     TestReply call(unsigned node, const TestRequest &request) const;
     std::future<TestReply> callAsync(unsigned node, const TestRequest &request) const;
 
-    /// @return an idempotency key for a POST to `path`, or empty
+    /// @return an idempotency key for a POST to `path`
+    /// @throws std::runtime_error when none is issued
     std::string issueKey(unsigned node, const std::string &path) const;
 
     /// Replaces a section of the next revision.
