--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -392,11 +392,10 @@
     return problemResponse(kind, course.detail, course.id.toString());
 }
 
-asio::awaitable<PeerResponse> RequestForwarder::issueKey(std::string method, std::string path)
+asio::awaitable<PeerResponse> RequestForwarder::issueKey(CallerRequest wanted)
 {
     Course course;
-    course.request.method = std::move(method);
-    course.request.target = std::move(path);
+    course.request = std::move(wanted);
     course.received = NodeClock::now();
     course.document = this->document();
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
@@ -432,11 +431,11 @@
         co_return co_await this->home.outcome(call);
     }
     constexpr Duration relayTimeout = std::chrono::seconds(10);
-    // A named function: g++ 12 destroys closures that are temporaries of a co_await expression twice.
-    const std::function<PeerRequest(const PeerView &)> makeRequest = [call](const PeerView &) {
+    // Not a temporary of the co_await expression: g++ 12 destroys the captures of such a closure twice.
+    std::function<PeerRequest(const PeerView &)> makeRequest = [call](const PeerView &) {
         return call->request;
     };
-    auto reply = co_await this->peers.request(vm, makeRequest, NodeClock::now() + relayTimeout);
+    auto reply = co_await this->peers.request(vm, std::move(makeRequest), NodeClock::now() + relayTimeout);
     if (!reply.ok()) {
         co_return problemResponse(ErrorKind::PeerUnreachable, messageOf(reply.status()), id);
     }
