Model short deadlines, the third node's refusals and resumed ingresses

Cause: the model gave all requests one deadline, so a key's tombstone could not end before an earlier request; it also let every relay forward. Change: deadlines differ; relays refuse some queries; work must not start at or after its expiry; an eighth protection is shown to be needed: an ingress that resumes must state a receipt from before its pause. Ruled out: a delay between caller and ingress beyond the caller's patience, against which a key gives no order. Conclusion: the ingress has to take receipt times from before a pause.

--- a/unittests/executionmodel.cpp
+++ b/unittests/executionmodel.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr std::size_t callerCount = 8;
-constexpr Duration deadline = std::chrono::seconds(2);
+constexpr Duration longestDeadline = std::chrono::seconds(2);
 
 template<typename... Functions>
 struct Overloaded : Functions...
@@ -67,7 +67,7 @@
     this->limits.maxResponseBytes = 4000;
     this->limits.retryHorizon = std::chrono::seconds(10);
     this->limits.responseRetention = std::chrono::seconds(3);
-    this->limits.maxRequestLifetime = deadline;
+    this->limits.maxRequestLifetime = longestDeadline;
     this->limits.outcomeMargin = std::chrono::seconds(1);
     for (std::size_t node = 0; node < nodeCount; ++node) {
         this->start(node);
@@ -247,6 +247,7 @@
 void World::send(CallerRequest request)
 {
     request.serial = this->nextSerial++;
+    request.deadline = this->chance(0.3) ? this->between(50, 500) : longestDeadline;
     ++request.ordinal;
     this->waitingFor[request.caller] = request.serial;
     const std::size_t ingress = this->pick(nodeCount);
@@ -254,7 +255,7 @@
     // A frozen ingress reads the request when it resumes, and takes it as received before the pause.
     const TimePoint received = node.frozenUntil > this->now ? node.frozenSince : this->now;
     this->schedule(this->now, ingress, node.incarnation, [this, ingress, request, received] {
-        this->startTask(ingress, request, received);
+        this->startTask(ingress, request, this->removed == Removed::ReceiptBeforePause ? this->now : received);
     });
     const Duration patience = this->chance(0.3) ? this->between(5, 300) : this->between(300, 5000);
     this->schedule(this->now + patience, noNode, {}, [this, request] {
@@ -316,7 +317,7 @@
     const bool isUnprotected = this->removed == Removed::UncertaintyRule;
     const AttemptMachine machine(isUnprotected ? WorkKind::Repeatable : request.kind, this->nodes[node].budget);
     const auto task = std::make_shared<Task>(Task{node, request, received, machine, noNode, {}, 0, false, false});
-    this->timer(node, deadline, [this, task] {
+    this->timer(node, request.deadline, [this, task] {
         this->feed(task, AttemptEvent::DeadlineReached());
     });
     if (this->chance(0.03)) {
@@ -365,7 +366,7 @@
     const TimePoint received = this->estimate(task->node, task->home, task->received);
     const RequestId id{node.incarnation, node.nextSequence++};
     const auto fingerprint = RequestFingerprint::of("POST", "/", task->request.body);
-    task->sent = {id, addressedTo, received, received + deadline, fingerprint, task->request.key};
+    task->sent = {id, addressedTo, received, received + task->request.deadline, fingerprint, task->request.key};
 
     const ReplyTo reply = this->replyTo(task, task->home, noNode, false);
     const auto deliver = [this, home = task->home, sent = task->sent, content = task->request, reply](bool isCopy) {
@@ -395,7 +396,11 @@
             this->message(task->node, task->home, deliver, true);
             return;
         }
-        const auto relay = [this, via, home = task->home, deliver](bool /*isCopy*/) {
+        const auto relay = [this, via, home = task->home, deliver, reply](bool /*isCopy*/) {
+            if (this->chance(0.05)) {
+                reply({ErrorKind::NotReady, {}}); // The third node's own refusal.
+                return;
+            }
             this->message(via, home, deliver, true);
         };
         this->message(task->node, via, relay, true);
@@ -479,7 +484,7 @@
     const LedgerRequest request = this->asSeenBy(home, sent);
     node.seen.insert(workOf(request));
     std::visit(Overloaded{[&](const LedgerDecision::Run &run) {
-                              node.running[run.work] = {content, {reply}};
+                              node.running[run.work] = {content, sent.expiry, {reply}};
                               this->timer(home, this->between(0, 40), [this, home, work = run.work] {
                                   this->dispatch(home, work);
                               });
@@ -550,12 +555,16 @@
         ledger.abandon(work, this->clockOf(home));
         this->endExecution(home, work, {ErrorKind::Overloaded, {}});
     } else if (const auto refused = ledger.markDispatched(work, this->clockOf(home))) {
+        ledger.abandon(work, this->clockOf(home));
         this->endExecution(home, work, {*refused, {}});
     } else if (this->chance(0.05)) {
         ledger.abandon(work, this->clockOf(home));
         this->endExecution(home, work, {ErrorKind::UpstreamShedding, {}});
     } else {
-        this->countRun(this->nodes[home].running.at(work).request);
+        const Execution &execution = this->nodes[home].running.at(work);
+        const bool isInTime = execution.expiry > this->clockOf(home) || this->removed == Removed::HomeExpiry;
+        this->check(isInTime, "no work starts at or after its expiry", execution.request);
+        this->countRun(execution.request);
         const Duration serviceTime = this->chance(0.9) ? this->between(1, 100) : this->between(100, 4000);
         this->timer(home, serviceTime, [this, home, work] {
             this->complete(home, work);
--- a/unittests/executionmodel.h
+++ b/unittests/executionmodel.h
@@ -29,6 +29,7 @@
     KeyBinding, ///< A key is accepted by every home and run, and sent to any.
     UncertaintyRule, ///< The ingress treats non-repeatable work as repeatable.
     ReceiptOrder, ///< The home does not distinguish requests received before and after a refusal.
+    ReceiptBeforePause, ///< An ingress that resumes takes what waited in its sockets as received then.
     Fingerprint, ///< The home does not compare what a key was used for.
 };
 
@@ -105,10 +106,12 @@
         WorkKind kind = WorkKind::Repeatable;
         std::optional<IdempotencyKey> key;
         std::string body;
+        Duration deadline{};
     };
     struct Execution
     {
         CallerRequest request;
+        TimePoint expiry;
         std::vector<ReplyTo> waiting;
     };
     struct PeerView
--- a/unittests/executionpropertytest.cpp
+++ b/unittests/executionpropertytest.cpp
@@ -123,6 +123,7 @@
             {Removed::KeyBinding, "key binding", "run"},
             {Removed::UncertaintyRule, "no resend after an uncertain outcome", "run"},
             {Removed::ReceiptOrder, "order of receipt and refusal", "run"},
+            {Removed::ReceiptBeforePause, "receipt before a pause", "never runs"},
             {Removed::Fingerprint, "fingerprint of a key", "own whole response"},
         };
         for (const Row &row : rows) {
