Rebase latency evidence when the peers' median rises, and confirm it

Cause: a slowdown of all upstreams reached the homes' CUSUM before the peers' median had followed. Failure rates are learned over 20,000 samples, because a 5% error rate was learned before it was found. Conclusion: the order of arrival of medians decides this case, so evidence has to be tied to the reference it was measured against.

--- a/galenarack/health/floorsystem.cpp
+++ b/galenarack/health/floorsystem.cpp
@@ -15,6 +15,8 @@
 constexpr float trialWeight = 0.05F;
 /// An upstream that is ejected stays so until another is worse by this factor, so that two similar ones do not alternate.
 constexpr float stayEjectedFactor = 1.25F;
+/// Log factor (1.6) by which an upstream ejected for latency must exceed the median that this ingress knows.
+constexpr float slowerThanPeers = 0.47F;
 /// Severity of an upstream that the document sets aside: above every judgement.
 constexpr float asideSeverity = 1e6F;
 /// Without news for so long, an ejection turns into a trial; a request to an upstream still ejected is refused as not run.
@@ -79,28 +81,43 @@
     return !row.gone && (row.peer == noPeer || this->paths.isReachable(row.peer));
 }
 
-bool FloorSystem::isCommonSlowdown(const ServiceReports &service, TimePoint /*now*/) const
+bool FloorSystem::isCommonSlowdown(const ServiceReports &service) const
 {
-    // Homes compare with a median that is up to a second old. When most upstreams are slow, the median itself is slow, so none
-    // of them is worse than its peers.
+    // Homes compare with a median that is up to a second old, so a common slowdown can look like their own. A report names latency
+    // as its cause from a fifth of the threshold on; when most do, the median itself is slow and none is worse than its peers.
     std::uint32_t reachable = 0;
     std::uint32_t slow = 0;
     for (const std::uint32_t index : service.rows) {
         const ReportRow &row = this->table.rows[index];
         if (this->isReachable(row) && !row.leaving) {
             ++reachable;
-            slow += isEjectedByHome(row) && row.report.cause == HealthCause::Latency ? 1 : 0;
+            slow += row.report.cause == HealthCause::Latency ? 1 : 0;
         }
     }
     return reachable >= 3 && 2 * slow > reachable;
 }
 
-FloorEntry FloorSystem::entryOf(const ReportRow &row, bool commonSlowdown) const
+bool FloorSystem::isSlowerThanPeers(const ReportRow &row, TimePoint now) const
+{
+    for (std::uint8_t i = 0; i < maxRouteClasses; ++i) {
+        if (row.latency[i] <= 0.0F) {
+            continue;
+        }
+        const Duration median = this->table.medianLatency(row.service, i, now);
+        if (median <= Duration(0) || row.latency[i] > std::log(static_cast<float>(median.count())) + slowerThanPeers) {
+            return true;
+        }
+    }
+    return false;
+}
+
+FloorEntry FloorSystem::entryOf(const ReportRow &row, bool commonSlowdown, TimePoint now) const
 {
     FloorEntry entry;
     entry.failureDomain = row.failureDomain;
     const bool judged = isEjectedByHome(row) && row.rule != UpstreamRule::Trust;
-    const bool excused = commonSlowdown && row.report.cause == HealthCause::Latency;
+    const bool judgedSlow = judged && row.report.verdict == HomeVerdict::Ejected && row.report.cause == HealthCause::Latency;
+    const bool excused = judgedSlow && (commonSlowdown || !this->isSlowerThanPeers(row, now));
     entry.unhealthy = row.rule == UpstreamRule::Aside || (judged && !excused);
     entry.severity = row.rule == UpstreamRule::Aside ? asideSeverity + row.report.severity : row.report.severity;
     if (row.state == UpstreamState::Ejected) {
@@ -111,7 +128,7 @@
 
 void FloorSystem::decide(ServiceReports &service, TimePoint now)
 {
-    const bool commonSlowdown = this->isCommonSlowdown(service, now);
+    const bool commonSlowdown = this->isCommonSlowdown(service);
     this->entries.clear();
     this->entryRows.clear();
     for (const std::uint32_t index : service.rows) {
@@ -121,7 +138,7 @@
         } else if (!this->isReachable(row)) {
             this->apply(index, UpstreamState::Unreachable, false, now);
         } else {
-            this->entries.push_back(this->entryOf(row, commonSlowdown));
+            this->entries.push_back(this->entryOf(row, commonSlowdown, now));
             this->entryRows.push_back(index);
         }
     }
--- a/galenarack/health/floorsystem.h
+++ b/galenarack/health/floorsystem.h
@@ -48,8 +48,9 @@
 private:
     void decide(ServiceReports &service, TimePoint now);
     bool isReachable(const ReportRow &row) const;
-    bool isCommonSlowdown(const ServiceReports &service, TimePoint now) const;
-    FloorEntry entryOf(const ReportRow &row, bool commonSlowdown) const;
+    bool isCommonSlowdown(const ServiceReports &service) const;
+    bool isSlowerThanPeers(const ReportRow &row, TimePoint now) const;
+    FloorEntry entryOf(const ReportRow &row, bool commonSlowdown, TimePoint now) const;
     void apply(std::uint32_t index, UpstreamState state, bool insist, TimePoint now);
     void count(ServiceReports &service, std::uint32_t floor);
 
--- a/galenarack/health/judgeprofile.h
+++ b/galenarack/health/judgeprofile.h
@@ -10,6 +10,7 @@
 struct JudgeProfile
 {
     float threshold; ///< Evidence that ejects.
+    float suspicion; ///< Evidence from which a report names its cause and latency counts as suspect.
     float integrityEvidence; ///< Evidence of one mismatched or truncated response.
     float trialThreshold; ///< Evidence that ends a trial.
     std::uint32_t trialSuccesses; ///< Good responses that end a trial well.
--- a/galenarack/health/judgesystem.h
+++ b/galenarack/health/judgesystem.h
@@ -35,7 +35,8 @@
     /// Evidence against one upstream, each kind in units of a log-likelihood ratio.
     struct Evidence
     {
-        float latency = 0.0F;
+        float latency = 0.0F; ///< Includes requests in flight.
+        float inFlight = 0.0F; ///< Part of `latency` from requests in flight.
         float stall = 0.0F;
         float failure = 0.0F;
         bool latencyConfirmed = false;
@@ -43,11 +44,14 @@
 
     Evidence collect(std::uint32_t row, TimePoint now);
     void addRequestsInFlight(std::uint32_t row, TimePoint now, Evidence &evidence) const;
-    bool isLatencyConfirmed(std::uint32_t row, TimePoint now);
+    bool isLatencyConfirmed(std::uint32_t row, float inFlight, TimePoint now);
+    bool isLasting(const LatencyClass &target, TimePoint peerMedianAt, float inFlight, const JudgeProfile &profile, TimePoint now) const;
     bool isSlowNow(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const;
     void judge(std::uint32_t row, const Evidence &evidence, TimePoint now);
+    HealthCause dominantCause(std::uint32_t row, const Evidence &evidence) const;
     void judgeWorking(std::uint32_t row, const Evidence &evidence, TimePoint now);
     void judgeEjected(std::uint32_t row, TimePoint now);
+    bool isRevoked(std::uint32_t row, TimePoint now) const;
     void judgeTrial(std::uint32_t row, TimePoint now);
     void countEpisode(Judgement &judgement, TimePoint now);
     void eject(std::uint32_t row, HealthCause cause, const Evidence &evidence, TimePoint now);
--- a/galenarack/health/observesystem.cpp
+++ b/galenarack/health/observesystem.cpp
@@ -14,7 +14,7 @@
 /// The slowdown that the latency test is tuned to: a factor of 3, the smallest for which section 4.4 has a target.
 constexpr float designShift = 1.0986F;
 /// Bounds of the evidence of one response. Real tails are heavier than lognormal, so no single response decides.
-constexpr float sampleCeiling = 5.0F;
+constexpr float sampleCeiling = 6.0F;
 constexpr float sampleFloor = -5.0F;
 /// Bounds of the standard deviation of log latency.
 constexpr float smallestDeviation = 0.3F;
@@ -28,13 +28,18 @@
 constexpr float learningLimit = 0.3F;
 /// Samples over which baselines average.
 constexpr float baselineSpan = 1000.0F;
-constexpr float failureSpan = 5000.0F;
+/// Failures average over far more samples than a 5% error rate needs to be found, or the test would learn it first.
+constexpr float failureSpan = 20000.0F;
 /// Weight of one response in the recent average.
 constexpr float recentWeight = 0.3F;
+/// Weight of one peers' median. Ingresses have medians of different age; the average keeps one of them from setting the reference.
+constexpr float peerWeight = 0.5F;
+/// A rise of the reference below this (10%) is noise of the median.
+constexpr float rebaseStep = 0.1F;
 /// Loss of the latency tail per response.
 constexpr float tailDecay = 1e-4F;
 /// A healthy failure rate lies in these bounds, and a bad one is so many times higher.
-constexpr float smallestFailureRate = 0.002F;
+constexpr float smallestFailureRate = 0.0005F;
 constexpr float largestFailureRate = 0.02F;
 constexpr float badFailureFactor = 25.0F;
 /// Load shedding cuts the share by this factor, at most once in the interval, down to the floor.
@@ -53,6 +58,12 @@
     target.evidence = std::clamp(target.evidence + gain, 0.0F, evidenceLimit * threshold);
 }
 
+/// @return the variance of log latency within its bounds
+float deviationSquare(const LatencyClass &latency)
+{
+    return std::clamp(latency.variance, smallestDeviation * smallestDeviation, largestDeviation * largestDeviation);
+}
+
 } // namespace
 
 ObserveSystem::ObserveSystem(UpstreamTable &table)
@@ -104,15 +115,17 @@
     }
     LatencyClass &latency = this->table.latencies[row][routeClass];
     const float value = std::log(static_cast<float>(median.count()));
-    // Ingresses have medians of different age; the average keeps one of them from setting the reference.
-    latency.peerMedian = latency.hasPeerMedian ? latency.peerMedian + (0.3F * (value - latency.peerMedian)) : value;
+    latency.peerMedian = latency.hasPeerMedian ? latency.peerMedian + (peerWeight * (value - latency.peerMedian)) : value;
     latency.hasPeerMedian = true;
+    latency.peerMedianAt = now;
+    if (const auto reference = this->table.reference(row, routeClass)) {
+        this->rebase(row, routeClass, *reference);
+    }
 }
 
 float ObserveSystem::latencyEvidence(const LatencyClass &latency, float logLatency, float reference)
 {
-    const float deviation = std::clamp(std::sqrt(latency.variance), smallestDeviation, largestDeviation);
-    const float ratio = (designShift / (deviation * deviation)) * (logLatency - reference - (designShift / 2.0F));
+    const float ratio = (designShift / deviationSquare(latency)) * (logLatency - reference - (designShift / 2.0F));
     return std::clamp(ratio, sampleFloor, sampleCeiling);
 }
 
@@ -120,17 +133,19 @@
 {
     LatencyClass &latency = this->table.latencies[row][routeClass];
     LatencyClass &all = this->table.pooled[row];
-    const float threshold = judgeProfile(this->table.profiles[row]).threshold;
+    const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
     if (const auto reference = this->table.reference(row, routeClass)) {
         float increment = latencyEvidence(latency, logLatency, *reference + this->table.coldAllowance(row, now));
         // A request that ended early would have taken longer, so it is never evidence for good health.
         increment = complete ? increment : std::max(0.0F, increment);
         for (LatencyClass *target : {&latency, &all}) {
-            if (target->evidence <= 0.0F) {
+            const bool wasSuspect = target->evidence >= profile.suspicion;
+            accumulate(*target, increment, profile.threshold);
+            if (!wasSuspect) {
                 target->onset = now;
             }
-            accumulate(*target, increment, threshold);
         }
+        countEvidence(latency, *reference);
     }
     if (!complete) {
         return;
@@ -138,7 +153,33 @@
     latency.recent = latency.samples == 0 ? logLatency : latency.recent + (recentWeight * (logLatency - latency.recent));
     latency.lastSample = now;
     all.lastSample = now;
-    this->learn(latency, logLatency, std::max(latency.evidence, all.evidence) > learningLimit * threshold);
+    this->learn(latency, logLatency, std::max(latency.evidence, all.evidence) > learningLimit * profile.threshold);
+}
+
+void ObserveSystem::countEvidence(LatencyClass &target, float reference)
+{
+    if (target.evidence <= 0.0F) {
+        target.evidenceSamples = 0;
+        target.evidenceReference = reference;
+    } else {
+        ++target.evidenceSamples;
+    }
+}
+
+void ObserveSystem::rebase(std::uint32_t row, std::uint8_t routeClass, float reference)
+{
+    LatencyClass &latency = this->table.latencies[row][routeClass];
+    LatencyClass &all = this->table.pooled[row];
+    const float rise = reference - latency.evidenceReference;
+    if (latency.evidenceSamples == 0 || rise < rebaseStep) {
+        return;
+    }
+    // The median followed a slowdown: each response counted so far is worth less by what the higher reference takes from it.
+    const float each = std::min(sampleCeiling, designShift * rise / deviationSquare(latency));
+    const float loss = each * static_cast<float>(latency.evidenceSamples);
+    latency.evidence = std::max(0.0F, latency.evidence - loss);
+    all.evidence = std::max(0.0F, all.evidence - loss);
+    latency.evidenceReference = reference;
 }
 
 void ObserveSystem::learn(LatencyClass &latency, float logLatency, bool suspected)
@@ -164,7 +205,7 @@
 {
     FailureEvidence &failure = this->table.failures[row];
     const JudgeProfile &profile = judgeProfile(this->table.profiles[row]);
-    const float healthy = std::clamp(2.0F * failure.rate, smallestFailureRate, largestFailureRate);
+    const float healthy = std::clamp(4.0F * failure.rate, smallestFailureRate, largestFailureRate);
     const float bad = std::min(0.5F, badFailureFactor * healthy);
     float increment = std::log((1.0F - bad) / (1.0F - healthy));
     if (outcome == SampleOutcome::IntegrityError) {
@@ -181,9 +222,7 @@
         ++judgement.trialGood;
     }
     if (failure.evidence <= learningLimit * profile.threshold) {
-        ++failure.samples;
-        const float step = std::max(1.0F / (static_cast<float>(failure.samples) + 1000.0F), 1.0F / failureSpan);
-        failure.rate += step * ((outcome == SampleOutcome::Ok ? 0.0F : 1.0F) - failure.rate);
+        failure.rate += (1.0F / failureSpan) * ((outcome == SampleOutcome::Ok ? 0.0F : 1.0F) - failure.rate);
     }
 }
 
--- a/galenarack/health/observesystem.h
+++ b/galenarack/health/observesystem.h
@@ -37,6 +37,8 @@
 
 private:
     void takeLatency(std::uint32_t row, std::uint8_t routeClass, float logLatency, bool complete, TimePoint now);
+    static void countEvidence(LatencyClass &target, float reference);
+    void rebase(std::uint32_t row, std::uint8_t routeClass, float reference);
     void learn(LatencyClass &latency, float logLatency, bool suspected);
     void takeOutcome(std::uint32_t row, SampleOutcome outcome);
     void takeShedding(std::uint32_t row, Duration retryAfter, TimePoint now);
--- a/galenarack/health/reporttable.cpp
+++ b/galenarack/health/reporttable.cpp
@@ -109,7 +109,7 @@
     for (const std::uint32_t index : this->services[service].rows) {
         const ReportRow &row = this->rows[index];
         const bool known = row.latency[routeClass] > 0.0F && now - row.latencyAt[routeClass] <= oldestLatency;
-        if (known && row.isKept() && !row.insist) {
+        if (known && row.isKept()) {
             this->scratch.push_back(row.latency[routeClass]);
         }
     }
--- a/galenarack/health/upstreamtable.cpp
+++ b/galenarack/health/upstreamtable.cpp
@@ -14,6 +14,8 @@
 
 /// Responses after which the own past is a reference.
 constexpr std::uint32_t minimumPast = 20;
+/// Classes with a response in this time are reported.
+constexpr Duration recentSpan = seconds(10);
 /// Length of slow start and the share it begins with.
 constexpr Duration slowStart = seconds(10);
 constexpr float slowStartShare = 0.1F;
@@ -162,13 +164,10 @@
     return latency.samples == 0 ? Duration(0) : Duration(static_cast<Duration::rep>(std::exp(recent)));
 }
 
-std::uint8_t UpstreamTable::latestClass(std::uint32_t row) const
+bool UpstreamTable::isRecent(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const
 {
-    const auto &classes = this->latencies[row];
-    const auto latest = std::max_element(classes.begin(), classes.end(), [](const LatencyClass &a, const LatencyClass &b) {
-        return a.lastSample < b.lastSample;
-    });
-    return static_cast<std::uint8_t>(latest - classes.begin());
+    const LatencyClass &latency = this->latencies[row][routeClass];
+    return latency.samples > 0 && now - latency.lastSample <= recentSpan;
 }
 
 bool UpstreamTable::isWarm(std::uint32_t row, TimePoint now) const
--- a/galenarack/health/upstreamtable.h
+++ b/galenarack/health/upstreamtable.h
@@ -34,7 +34,10 @@
     float windowGain = 0.0F; ///< Evidence since the last tick.
     std::uint32_t samples = 0;
     bool hasPeerMedian = false;
-    TimePoint onset; ///< When the evidence last left 0.
+    TimePoint onset; ///< When the evidence last rose above the suspicion limit of the profile.
+    TimePoint peerMedianAt;
+    std::uint32_t evidenceSamples = 0; ///< Responses since the evidence was 0.
+    float evidenceReference = 0.0F; ///< Highest reference that the evidence is relative to.
     TimePoint lastSample;
 };
 
@@ -43,8 +46,7 @@
 {
     float evidence = 0.0F; ///< CUSUM of log-likelihood ratios.
     float windowGain = 0.0F; ///< Evidence since the last tick.
-    float rate = 0.0F; ///< Long-term share of failures.
-    std::uint32_t samples = 0;
+    float rate = 0.0005F; ///< Long-term share of failures; starts from a guess.
     HealthCause cause = HealthCause::Failure; ///< Failure or Integrity, whichever came last.
 };
 
@@ -120,8 +122,8 @@
     /// @return the recent typical latency of a class including requests still in flight; 0 without samples
     Duration recentLatency(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const;
 
-    /// @return the class with the latest sample; heartbeats report this one
-    std::uint8_t latestClass(std::uint32_t row) const;
+    /// @return whether the class had a response in the last seconds; heartbeats carry one report for each such class, or one in all
+    bool isRecent(std::uint32_t row, std::uint8_t routeClass, TimePoint now) const;
 
     /// @return whether slow start is over
     bool isWarm(std::uint32_t row, TimePoint now) const;
--- a/galenarack/routing/upstreamselector.cpp
+++ b/galenarack/routing/upstreamselector.cpp
@@ -116,7 +116,7 @@
 
 Selection UpstreamSelector::toSelection(const Candidate &candidate) const
 {
-    return {candidate.row, this->table.rows[candidate.row].insist};
+    return {candidate.row, this->table.rows[candidate.row].insist, candidate.trial};
 }
 
 } // namespace Galenarack
--- a/galenarack/routing/upstreamselector.h
+++ b/galenarack/routing/upstreamselector.h
@@ -15,6 +15,7 @@
 {
     std::uint32_t row; ///< Index into ReportTable::rows.
     bool insist; ///< The request states that the ingress insists.
+    bool trial; ///< The upstream is on trial; the forwarder hedges the request soon, so that a failed trial delays no caller.
 };
 
 /// Selects an upstream by two random candidates, same failure domain first while it has room.
