Measure the health decisions in virtual time beside three baselines

Cause: section 4.4 states targets and no program checked them. Ruled out: false ejections in the full model, where PINGs, heartbeats and ticks of 26 ingresses add events that do not matter to them.

--- /dev/null
+++ b/performancetest/baselines.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <galenarack/health/judgesystem.h>
+#include <galenarack/health/observesystem.h>
+#include <galenarack/health/reporttable.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace Galenarack::Model {
+
+/// Who decides in a run. The baselines are those of section 4.4; each runs at every ingress, since none of them shares state.
+enum class Judge : std::uint8_t {
+    Ours,
+    FiveErrors, ///< Five consecutive errors, 10 s sweep, 30 s ejection, at most 10% ejected (at least one).
+    FixedThreshold, ///< Average latency over about three responses above 250 ms: ejected for 30 s, at most half.
+    IngressAlone, ///< Our judgement, but of each ingress over its own requests only.
+};
+
+/// Ejections at one ingress by one of the first two baselines.
+class BaselineEjector
+{
+public:
+    BaselineEjector(Judge judge, std::uint32_t upstreams)
+        : judge(judge)
+        , rows(upstreams)
+    {
+    }
+
+    void finished(std::uint32_t row, SampleOutcome outcome, Duration latency, TimePoint now)
+    {
+        Row &state = this->rows[row];
+        const bool error = outcome != SampleOutcome::Ok && outcome != SampleOutcome::Cancelled;
+        state.consecutiveErrors = error ? state.consecutiveErrors + 1 : 0;
+        const auto value = static_cast<double>(latency.count());
+        state.average = state.samples == 0 ? value : state.average + (0.3 * (value - state.average));
+        ++state.samples;
+        if (this->judge == Judge::FixedThreshold && state.samples >= 3 && state.average > 250e3) {
+            this->eject(row, this->rows.size() / 2, now);
+        }
+    }
+
+    /// Ends ejections, sweeps, and writes the result into the ingress's table.
+    void tick(ReportTable &table, TimePoint now)
+    {
+        if (this->judge == Judge::FiveErrors && now - this->lastSweep >= std::chrono::seconds(10)) {
+            this->lastSweep = now;
+            for (std::uint32_t row = 0; row < this->rows.size(); ++row) {
+                if (this->rows[row].consecutiveErrors >= 5) {
+                    this->eject(row, std::max<std::size_t>(1, this->rows.size() / 10), now);
+                }
+            }
+        }
+        for (std::uint32_t row = 0; row < this->rows.size(); ++row) {
+            table.rows[row].state = this->rows[row].until > now ? UpstreamState::Ejected : UpstreamState::Serving;
+            table.rows[row].weight = 1.0F;
+        }
+    }
+
+private:
+    struct Row
+    {
+        std::uint32_t consecutiveErrors = 0;
+        std::uint32_t samples = 0;
+        double average = 0.0;
+        TimePoint until;
+    };
+
+    void eject(std::uint32_t row, std::size_t limit, TimePoint now)
+    {
+        const auto ejected = std::count_if(this->rows.begin(), this->rows.end(), [now](const Row &other) {
+            return other.until > now;
+        });
+        if (static_cast<std::size_t>(ejected) < limit && this->rows[row].until <= now) {
+            this->rows[row] = {};
+            this->rows[row].until = now + std::chrono::seconds(30);
+        }
+    }
+
+    Judge judge;
+    std::vector<Row> rows;
+    TimePoint lastSweep;
+};
+
+/// Our judgement over the requests of one ingress only.
+struct IngressJudge
+{
+    explicit IngressJudge(const Document &document, std::uint32_t slots)
+        : observe(table)
+        , judge(table)
+    {
+        for (const UpstreamRow &upstream : document.upstreams) {
+            this->table.add(upstream.name, slots, document.services[0].profile, UpstreamRule::Judge, TimePoint());
+        }
+    }
+    IngressJudge(const IngressJudge &) = delete;
+    IngressJudge &operator=(const IngressJudge &) = delete;
+
+    UpstreamTable table;
+    ObserveSystem observe;
+    JudgeSystem judge;
+};
+
+} // namespace Galenarack::Model
--- /dev/null
+++ b/performancetest/detection.cpp
@@ -0,0 +1,463 @@
+// Measures the decisions of section 4.4 in virtual time, beside the baselines on the same seeds.
+//   performance-detection [--check] [--group NAME] [--case NAME] [--seeds N] [--hours N] [--baselines] [--all]
+// Groups: claims, authority (detection, all cases at busy load), steady-claims, steady-authority (false ejections), late
+// (late lookups against the baselines), quiet.
+
+#include "servicemodel.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace Galenarack;
+using namespace Galenarack::Model;
+
+namespace {
+
+constexpr std::uint64_t firstSeed = 20261204;
+constexpr unsigned workers = 4;
+constexpr double busyRate = 17.6; ///< Requests/s an upstream at the target size (section 2).
+constexpr double quietRate = 0.2;
+
+constexpr User claimsFirm = {"claims", TrustProfile::Claims, 3, 0.001};
+constexpr User dairyAuthority = {"authority", TrustProfile::Authority, 7, 0.0005};
+
+/// Target that a case is bound by, from section 4.4.
+enum class Target : std::uint8_t {
+    Report, ///< No stated target.
+    Severe, ///< Wrong responses, hangs or 10x slower: 2 s and 5 s at p99.
+    Slower, ///< 3x slower: 5 s and 15 s at p99.
+    NoEjection, ///< Not a fault of an upstream: no verdict against one.
+    NoneKeptOut, ///< Common to all: no ingress ejects any.
+};
+
+struct Case
+{
+    const char *name;
+    Fault fault;
+    double amount;
+    Target target;
+    double faultSeconds;
+};
+
+constexpr Case cases[] = {
+    {"slow-3x", Fault::Slow, 3.0, Target::Slower, 30},
+    {"slow-10x", Fault::Slow, 10.0, Target::Severe, 30},
+    {"hang", Fault::Hang, 0.0, Target::Severe, 30},
+    {"errors-5%", Fault::Errors, 0.05, Target::Report, 60},
+    {"errors-30%", Fault::Errors, 0.3, Target::Report, 30},
+    {"errors-100%", Fault::Errors, 1.0, Target::Report, 30},
+    {"wrong-30%", Fault::Wrong, 0.3, Target::Severe, 30},
+    {"truncated-100%", Fault::Truncated, 1.0, Target::Severe, 30},
+    {"stuck-slot", Fault::StuckSlot, 0.0, Target::Severe, 30},
+    {"flapping-2s", Fault::Flapping, 2.0, Target::Report, 60},
+    {"flapping-10s", Fault::Flapping, 10.0, Target::Report, 60},
+    {"flapping-60s", Fault::Flapping, 60.0, Target::Report, 150},
+    {"slow-route-10x", Fault::SlowRoute, 10.0, Target::Severe, 30},
+    {"all-slow-3x", Fault::AllSlow, 3.0, Target::NoneKeptOut, 30},
+    {"all-slow-10x", Fault::AllSlow, 10.0, Target::NoneKeptOut, 30},
+    {"surge-3x", Fault::Surge, 3.0, Target::NoEjection, 30},
+    {"cold-start", Fault::ColdStart, 0.0, Target::NoEjection, 30},
+    {"load-shedding", Fault::Shedding, 0.0, Target::NoEjection, 30},
+    {"freeze-home-1s", Fault::FreezeHome, 1.0, Target::NoEjection, 20},
+    {"freeze-home-10s", Fault::FreezeHome, 10.0, Target::NoEjection, 30},
+    {"cut-path", Fault::CutPath, 0.0, Target::NoEjection, 30},
+    {"cut-failure-domain", Fault::CutDomain, 0.0, Target::NoEjection, 30},
+    {"two-at-once", Fault::Two, 0.0, Target::Severe, 30},
+};
+
+/// Runs a function for each index on a few threads; each index has its own seed, so the order does not matter.
+void forEachIndex(std::size_t count, const std::function<void(std::size_t)> &function)
+{
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < workers; ++i) {
+        threads.emplace_back([&] {
+            for (std::size_t index = next++; index < count; index = next++) {
+                function(index);
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+}
+
+const char *judgeName(Judge judge)
+{
+    constexpr const char *names[] = {"ours", "five-errors", "fixed-threshold", "ingress-alone"};
+    return names[static_cast<std::size_t>(judge)];
+}
+
+/// The nearest-rank percentile; values that are missing sort last and count as infinite.
+double percentile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
+    return values[std::max<std::size_t>(1, rank) - 1];
+}
+
+/// All runs of one case.
+struct Summary
+{
+    double detection50 = 0.0;
+    double detection99 = 0.0;
+    double work50 = 0.0;
+    double work99 = 0.0;
+    std::uint32_t falseEjections = 0;
+    double falsePerThousandHours = 0.0;
+    double lowestCapacity = 1.0;
+    double lateShare = 0.0;
+    std::uint32_t floorViolations = 0;
+    bool hasDetection = false;
+};
+
+Summary measure(RunSetting setting, std::uint32_t seeds)
+{
+    std::vector<RunResult> results(seeds);
+    forEachIndex(seeds, [&](std::size_t index) {
+        RunSetting own = setting;
+        own.seed = firstSeed + index;
+        results[index] = ServiceModel(own).run();
+    });
+    Summary summary;
+    std::vector<double> detection;
+    std::vector<double> work;
+    double hours = 0.0;
+    double late = 0.0;
+    double requests = 0.0;
+    for (const RunResult &result : results) {
+        detection.push_back(result.detectionSeconds.value_or(HUGE_VAL));
+        summary.hasDetection = summary.hasDetection || result.detectionSeconds.has_value();
+        work.push_back(result.workAfter);
+        summary.falseEjections += result.falseEjections;
+        hours += result.upstreamHours;
+        summary.lowestCapacity = std::min(summary.lowestCapacity, result.lowestCapacity);
+        late += result.late;
+        requests += result.requests;
+        summary.floorViolations += result.floorViolations;
+    }
+    summary.detection50 = percentile(detection, 0.5);
+    summary.detection99 = percentile(detection, 0.99);
+    summary.work50 = percentile(work, 0.5);
+    summary.work99 = percentile(work, 0.99);
+    summary.falsePerThousandHours = 1000.0 * summary.falseEjections / hours;
+    summary.lateShare = requests > 0.0 ? late / requests : 0.0;
+    return summary;
+}
+
+void printHeader()
+{
+    std::printf("%-9s %3s %-5s %-18s %-15s %8s %8s %7s %7s %6s %9s %8s %7s\n",
+                "user",
+                "ups",
+                "load",
+                "case",
+                "judge",
+                "det50/s",
+                "det99/s",
+                "work50",
+                "work99",
+                "false",
+                "f/1000h",
+                "capacity",
+                "late%");
+}
+
+void printRow(const User &user, std::uint32_t upstreams, const char *load, const char *name, Judge judge, const Summary &summary)
+{
+    std::printf("%-9s %3u %-5s %-18s %-15s %8.2f %8.2f %7.0f %7.0f %6u %9.2f %8.2f %7.3f\n",
+                user.name,
+                upstreams,
+                load,
+                name,
+                judgeName(judge),
+                summary.detection50,
+                summary.detection99,
+                summary.work50,
+                summary.work99,
+                summary.falseEjections,
+                summary.falsePerThousandHours,
+                summary.lowestCapacity,
+                100.0 * summary.lateShare);
+    std::fflush(stdout);
+}
+
+/// Prints a broken bound. @return whether it holds
+bool bound(bool holds, const std::string &text)
+{
+    if (!holds) {
+        std::printf("BROKEN: %s\n", text.c_str());
+    }
+    return holds;
+}
+
+bool checkCase(const User &user, const Case &c, const Summary &summary)
+{
+    const bool claims = user.profile == TrustProfile::Claims;
+    const std::string name = std::string(user.name) + " " + c.name;
+    bool good = bound(summary.floorViolations == 0, name + ": floor violations");
+    const double severe = claims ? 2.0 : 5.0;
+    const double slower = claims ? 5.0 : 15.0;
+    switch (c.target) {
+    case Target::Severe:
+        good &= bound(summary.detection99 <= severe, name + ": p99 of detection above " + std::to_string(severe) + " s");
+        break;
+    case Target::Slower:
+        good &= bound(summary.detection99 <= slower, name + ": p99 of detection above " + std::to_string(slower) + " s");
+        break;
+    case Target::NoEjection:
+        good &= bound(summary.falseEjections == 0, name + ": a healthy upstream was ejected");
+        break;
+    case Target::NoneKeptOut:
+        good &= bound(summary.lowestCapacity >= 1.0, name + ": an ingress ejected an upstream for a common slowdown");
+        break;
+    case Target::Report:
+        break;
+    }
+    return good;
+}
+
+RunSetting settingOf(const User &user, std::uint32_t upstreams, const Case &c, Judge judge, bool quiet)
+{
+    // Quiet: 20 samples of each class take minutes.
+    const double warm = quiet ? 600.0 : 40.0;
+    return {user, upstreams, quiet ? quietRate : busyRate, c.fault, c.amount, judge, warm, quiet ? 120.0 : c.faultSeconds, 0};
+}
+
+struct Options
+{
+    bool check = false;
+    bool baselines = false;
+    bool all = false;
+    std::uint32_t seeds = 100;
+    double hours = 0.0;
+    std::string group;
+    std::string onlyCase;
+};
+
+bool runCases(const User &user, const Options &options, bool quiet)
+{
+    printHeader();
+    bool good = true;
+    const std::vector<std::uint32_t> sizes = options.all ? std::vector<std::uint32_t>{6, 10} : std::vector<std::uint32_t>{10};
+    for (const std::uint32_t upstreams : sizes) {
+        for (const Case &c : cases) {
+            if (!options.onlyCase.empty() && options.onlyCase != c.name) {
+                continue;
+            }
+            const Summary summary = measure(settingOf(user, upstreams, c, Judge::Ours, quiet), options.seeds);
+            printRow(user, upstreams, quiet ? "quiet" : "busy", c.name, Judge::Ours, summary);
+            if (!quiet) {
+                good &= checkCase(user, c, summary);
+            }
+            for (const Judge judge : {Judge::FiveErrors, Judge::FixedThreshold, Judge::IngressAlone}) {
+                if (options.baselines) {
+                    const Summary other = measure(settingOf(user, upstreams, c, judge, quiet), std::min(10U, options.seeds));
+                    printRow(user, upstreams, quiet ? "quiet" : "busy", c.name, judge, other);
+                }
+            }
+        }
+    }
+    return good;
+}
+
+/// Late responses with one gray upstream of ten, against the best baseline.
+bool runLate(const Options &options)
+{
+    printHeader();
+    bool good = true;
+    for (const Case &c : cases) {
+        if (std::strcmp(c.name, "slow-10x") != 0 && std::strcmp(c.name, "hang") != 0) {
+            continue;
+        }
+        Case longer = c;
+        longer.faultSeconds = 60;
+        double best = HUGE_VAL;
+        double ours = 0.0;
+        for (const Judge judge : {Judge::Ours, Judge::FiveErrors, Judge::FixedThreshold, Judge::IngressAlone}) {
+            const Summary summary = measure(settingOf(claimsFirm, 10, longer, judge, false), std::min(20U, options.seeds));
+            printRow(claimsFirm, 10, "busy", c.name, judge, summary);
+            (judge == Judge::Ours ? ours : best) = judge == Judge::Ours ? summary.lateShare : std::min(best, summary.lateShare);
+        }
+        std::printf("late: ours %.3f%%, best baseline %.3f%%, ratio %.2f\n", 100 * ours, 100 * best, ours / best);
+        good &= bound(ours <= 0.2 * best, std::string(c.name) + ": late responses above a fifth of the best baseline's");
+    }
+    return good;
+}
+
+/// Healthy upstreams of one service, driven at their homes alone; the median comes from the rows themselves once a second.
+std::uint32_t countFalseEjections(const User &user, double rate, double hours, std::uint64_t seed)
+{
+    constexpr std::uint32_t upstreams = 10;
+    struct Upstream
+    {
+        HealthyUpstream healthy;
+        std::vector<std::pair<TimePoint, std::uint64_t>> ends;
+        TimePoint nextArrival;
+        std::uint32_t waiting = 0;
+    };
+    Random random(seed);
+    UpstreamTable table;
+    ObserveSystem observe(table);
+    JudgeSystem judge(table);
+    std::vector<Upstream> rows(upstreams);
+    for (std::uint32_t i = 0; i < upstreams; ++i) {
+        table.add(std::to_string(i), user.slots, user.profile, UpstreamRule::Judge, TimePoint());
+        rows[i].nextArrival = TimePoint() + seconds(random.exponential(1.0 / rate));
+    }
+    std::uint32_t ejections = 0;
+    std::uint64_t token = 0;
+    const auto end = TimePoint() + seconds(hours / upstreams * 3600.0);
+    for (TimePoint tickAt; tickAt < end; tickAt += std::chrono::milliseconds(100)) {
+        for (std::uint32_t i = 0; i < upstreams; ++i) {
+            Upstream &row = rows[i];
+            const auto start = [&](TimePoint at) {
+                const std::uint8_t routeClass = row.healthy.drawClass(random);
+                observe.start(i, ++token, routeClass, at);
+                row.ends.emplace_back(row.healthy.finish(random, at, row.healthy.drawService(random, routeClass)), token);
+            };
+            while (true) {
+                const auto first = std::min_element(row.ends.begin(), row.ends.end());
+                const TimePoint nextEnd = first == row.ends.end() ? TimePoint::max() : first->first;
+                if (std::min(nextEnd, row.nextArrival) >= tickAt + std::chrono::milliseconds(100)) {
+                    break;
+                }
+                if (nextEnd <= row.nextArrival) {
+                    const bool failed = random.uniform() < HealthyUpstream::errorRate;
+                    observe.finish(i, first->second, failed ? SampleOutcome::Failed : SampleOutcome::Ok, nextEnd);
+                    *first = row.ends.back();
+                    row.ends.pop_back();
+                    if (row.waiting > 0) {
+                        --row.waiting;
+                        start(nextEnd);
+                    }
+                    continue;
+                }
+                const TimePoint arrival = row.nextArrival;
+                row.nextArrival += seconds(random.exponential(1.0 / rate));
+                if (row.ends.size() < user.slots) {
+                    start(arrival);
+                } else {
+                    ++row.waiting;
+                }
+            }
+        }
+        const TimePoint now = tickAt + std::chrono::milliseconds(100);
+        for (const VerdictChange &change : judge.tick(now)) {
+            ejections += change.to == HomeVerdict::Ejected ? 1 : 0;
+        }
+        if (now.time_since_epoch().count() % 1000000 == 0) {
+            for (std::uint8_t routeClass = 0; routeClass < 2; ++routeClass) {
+                std::vector<Duration> recent;
+                for (std::uint32_t i = 0; i < upstreams; ++i) {
+                    recent.push_back(table.recentLatency(i, routeClass, now));
+                }
+                std::nth_element(recent.begin(), recent.begin() + upstreams / 2, recent.end());
+                for (std::uint32_t i = 0; i < upstreams; ++i) {
+                    observe.peerMedian(i, routeClass, recent[upstreams / 2], now);
+                }
+            }
+        }
+    }
+    return ejections;
+}
+
+bool runSteady(const User &user, const Options &options)
+{
+    bool good = true;
+    const bool claims = user.profile == TrustProfile::Claims;
+    const double limit = claims ? 1.0 : 0.1;
+    const double hours = options.hours > 0.0 ? options.hours : 4000.0;
+    for (const double rate : {busyRate, quietRate}) {
+        constexpr std::size_t parts = 16;
+        std::vector<std::uint32_t> counts(parts);
+        forEachIndex(parts, [&](std::size_t index) {
+            counts[index] = countFalseEjections(user, rate, hours / parts, firstSeed + index);
+        });
+        std::uint32_t total = 0;
+        for (const std::uint32_t count : counts) {
+            total += count;
+        }
+        // 95% upper limit of a Poisson mean: 3.0 for no event, a normal approximation otherwise.
+        const double upper = total == 0 ? 3.0 : total + 1.645 * std::sqrt(static_cast<double>(total)) + 2.0;
+        std::printf(
+            "%s steady, %.1f requests/s an upstream: %u false ejections in %.0f upstream-hours, %.3f per 1,000 h (95%% upper limit %.3f), "
+            "target below %.1f\n",
+            user.name,
+            rate,
+            total,
+            hours,
+            1000.0 * total / hours,
+            1000.0 * upper / hours,
+            limit);
+        good &= bound(1000.0 * total / hours < limit, std::string(user.name) + ": false ejections per 1,000 upstream-hours");
+    }
+    return good;
+}
+
+Options parse(int argc, char **argv)
+{
+    Options options;
+    for (int i = 1; i < argc; ++i) {
+        const std::string name = argv[i];
+        const auto value = [&]() -> std::string {
+            return i + 1 < argc ? argv[++i] : std::string();
+        };
+        if (name == "--check") {
+            options.check = true;
+        } else if (name == "--baselines") {
+            options.baselines = true;
+        } else if (name == "--all") {
+            options.all = true;
+        } else if (name == "--group") {
+            options.group = value();
+        } else if (name == "--case") {
+            options.onlyCase = value();
+        } else if (name == "--seeds") {
+            options.seeds = static_cast<std::uint32_t>(std::stoul(value()));
+        } else if (name == "--hours") {
+            options.hours = std::stod(value());
+        } else {
+            std::fprintf(stderr, "unknown argument %s\n", name.c_str());
+            std::exit(2);
+        }
+    }
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = parse(argc, argv);
+    bool good = true;
+    const auto wants = [&](const char *group) {
+        return options.group.empty() || options.group == group;
+    };
+    if (wants("claims")) {
+        good &= runCases(claimsFirm, options, false);
+    }
+    if (wants("authority")) {
+        good &= runCases(dairyAuthority, options, false);
+    }
+    if (options.group == "quiet") {
+        good &= runCases(claimsFirm, options, true) && runCases(dairyAuthority, options, true);
+    }
+    if (wants("late")) {
+        good &= runLate(options);
+    }
+    if (wants("steady-claims")) {
+        good &= runSteady(claimsFirm, options);
+    }
+    if (wants("steady-authority")) {
+        good &= runSteady(dairyAuthority, options);
+    }
+    return options.check && !good ? 1 : 0;
+}
