Bound single stalled requests by the tail and confirm latency after 1 s

Change: a pair of stalled requests ejects at 20 times the typical latency, a single one at 1.9 times that age or three times the longest healthy response of late, whichever is longer; before, the tail counted twice. Latency of claims is confirmed after 1.0 s.

--- a/galenarack/health/judgeprofile.cpp
+++ b/galenarack/health/judgeprofile.cpp
@@ -17,8 +17,8 @@
     .stallFactor = 20.0F,
     .stallMinimum = milliseconds(500),
     .stallUnknown = milliseconds(1500),
-    .singleStallGrowth = 2.0F,
-    .latencyConfirmation = milliseconds(1100),
+    .singleStallGrowth = 1.9F,
+    .latencyConfirmation = milliseconds(1000),
 };
 constexpr JudgeProfile authority = {
     .threshold = 28.0F,
--- a/galenarack/health/judgesystem.cpp
+++ b/galenarack/health/judgesystem.cpp
@@ -15,6 +15,10 @@
 constexpr float inFlightShare = 0.75F;
 /// Confirmed latency evidence still needs a typical latency of 1.6 times the reference at present.
 constexpr float slowNow = 0.47F;
+/// Multiples of the longest healthy response of late that two stalled requests and a single one must exceed. They cover services
+/// whose healthy responses are sometimes far slower than typical ones.
+constexpr float pairTailFactor = 2.0F;
+constexpr float singleTailFactor = 3.0F;
 /// A peers' median this young confirms latency evidence; without one, confirmation takes half as long again.
 constexpr Duration newMedian = std::chrono::milliseconds(400);
 /// An episode starts at this part of the threshold and ends at the other.
@@ -36,6 +40,19 @@
 constexpr std::uint32_t idleTrialProbes = 3;
 constexpr Duration shortestTrial = seconds(1);
 
+/// @param age, typical, tail in microseconds; `tail` is the longest healthy response of late
+/// @return half of the threshold from the age at which two such requests eject, growing to all of it for a single one
+float stallEvidence(const JudgeProfile &profile, float age, float typical, float tail)
+{
+    const float stalled = std::max(static_cast<float>(profile.stallMinimum.count()), profile.stallFactor * typical);
+    const float pairAge = std::max(stalled, pairTailFactor * tail);
+    const float singleAge = std::max(profile.singleStallGrowth * stalled, singleTailFactor * tail);
+    if (age < pairAge) {
+        return 0.0F;
+    }
+    return profile.threshold * (0.5F + (0.5F * std::min(1.0F, (age - pairAge) / (singleAge - pairAge))));
+}
+
 } // namespace
 
 JudgeSystem::JudgeSystem(UpstreamTable &table)
@@ -81,20 +98,13 @@
         const auto age = static_cast<float>(std::max<Duration::rep>(1, (now - request.started).count()));
         const LatencyClass &latency = this->table.latencies[row][request.routeClass];
         const auto reference = this->table.reference(row, request.routeClass);
-        float stalledAge = static_cast<float>(profile.stallUnknown.count());
+        float typical = static_cast<float>(profile.stallUnknown.count()) / profile.stallFactor;
         if (reference) {
-            const float typical = std::exp(*reference + this->table.coldAllowance(row, now));
-            // The tail covers services whose healthy responses are sometimes far slower than typical ones.
-            const float longest = 2.0F * std::exp(latency.tail);
-            stalledAge = std::max({static_cast<float>(profile.stallMinimum.count()), profile.stallFactor * typical, longest});
-            slowness
-                += std::max(0.0F, ObserveSystem::latencyEvidence(latency, std::log(age), *reference + this->table.coldAllowance(row, now)));
-        }
-        // Half the threshold at the stalled age, all of it at the age for a single request, so that two of them eject at once.
-        if (age >= stalledAge) {
-            const float growth = (age / stalledAge - 1.0F) / (profile.singleStallGrowth - 1.0F);
-            evidence.stall += profile.threshold * (0.5F + (0.5F * std::min(1.0F, growth)));
+            const float expected = *reference + this->table.coldAllowance(row, now);
+            typical = std::exp(expected);
+            slowness += std::max(0.0F, ObserveSystem::latencyEvidence(latency, std::log(age), expected));
         }
+        evidence.stall += stallEvidence(profile, age, typical, std::exp(latency.tail));
     }
     evidence.inFlight = std::min(slowness, inFlightShare * profile.threshold);
     evidence.latency += evidence.inFlight;
