--- /dev/null
+++ b/unittests/judgesystemtest.cpp
@@ -0,0 +1,320 @@
+#include <galenarack/health/judgesystem.h>
+#include <galenarack/health/observesystem.h>
+#include <galenarack/health/probesystem.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <functional>
+#include <random>
+
+using namespace Galenarack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// One upstream with 3 slots under steady requests every 57 ms in virtual time; a test changes what a request does.
+struct Bench
+{
+    explicit Bench(TrustProfile profile = TrustProfile::Claims, UpstreamRule rule = UpstreamRule::Judge)
+    {
+        this->table.add("upstream", 3, profile, rule, this->now);
+    }
+
+    /// Runs requests and ticks. @return the time to the first ejection
+    std::optional<Duration> run(Duration length, const std::function<std::pair<Duration, SampleOutcome>()> &behaviour, bool median = true)
+    {
+        const TimePoint start = this->now;
+        while (this->now - start < length) {
+            this->now += milliseconds(1);
+            const auto elapsed = std::chrono::duration_cast<milliseconds>(this->now - TimePoint()).count();
+            for (std::size_t i = 0; i < this->ends.size();) {
+                if (this->ends[i].at <= this->now) {
+                    this->observe.finish(0, this->ends[i].token, this->ends[i].outcome, this->now, seconds(1));
+                    this->ends.erase(this->ends.begin() + static_cast<std::ptrdiff_t>(i));
+                } else {
+                    ++i;
+                }
+            }
+            if (elapsed % 57 == 0 && this->ends.size() < 3) {
+                const auto [latency, outcome] = behaviour();
+                this->observe.start(0, ++this->token, 0, this->now);
+                this->ends.push_back({this->now + latency, this->token, outcome});
+            }
+            if (elapsed % 100 == 0) {
+                if (median) {
+                    this->observe.peerMedian(0, 0, milliseconds(20), this->now);
+                }
+                for (const std::uint32_t row : this->probe.tick(this->now)) {
+                    this->probe.finish(row, this->probeOk, milliseconds(25), this->now);
+                }
+                for (const VerdictChange &change : this->judge.tick(this->now)) {
+                    if (change.to == HomeVerdict::Ejected) {
+                        this->lastCause = change.cause;
+                        this->lastEjection = change.ejectionTime;
+                        return this->now - start;
+                    }
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::pair<Duration, SampleOutcome> healthy()
+    {
+        const double value = 20000.0 * std::exp(0.5 * std::normal_distribution<double>()(this->random));
+        return {Duration(static_cast<Duration::rep>(value)), SampleOutcome::Ok};
+    }
+    void warm()
+    {
+        CPPUNIT_ASSERT(!this->run(seconds(30), [this] {
+            return this->healthy();
+        }));
+        CPPUNIT_ASSERT(this->verdict() == HomeVerdict::Serving);
+    }
+    HomeVerdict verdict() const
+    {
+        return this->table.judgements[0].verdict;
+    }
+
+    struct End
+    {
+        TimePoint at;
+        std::uint64_t token;
+        SampleOutcome outcome;
+    };
+    TimePoint now;
+    UpstreamTable table;
+    ObserveSystem observe{this->table};
+    JudgeSystem judge{this->table};
+    ProbeSystem probe{this->table, std::mt19937_64(1)};
+    std::mt19937_64 random{20261204};
+    std::vector<End> ends;
+    std::uint64_t token = 0;
+    bool probeOk = true;
+    HealthCause lastCause = HealthCause::None;
+    Duration lastEjection{0};
+};
+
+} // namespace
+
+class JudgeSystemTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JudgeSystemTest);
+    CPPUNIT_TEST(detectsFaultsByTable);
+    CPPUNIT_TEST(ownPauseIsNoEvidence);
+    CPPUNIT_TEST(commonSlowdownIsNoEvidence);
+    CPPUNIT_TEST(returnsThroughTrialAndSlowStart);
+    CPPUNIT_TEST(ejectionTimeGrows);
+    CPPUNIT_TEST(sheddingLowersShareOnly);
+    CPPUNIT_TEST(probesStayWithinSlotTime);
+    CPPUNIT_TEST(admissionByTable);
+    CPPUNIT_TEST(configureKeepsState);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards each kind of evidence, the time it takes, and that good probes do not hide it; rows without a limit must not eject.
+    void detectsFaultsByTable()
+    {
+        struct Row
+        {
+            const char *name;
+            double factor;
+            double badShare;
+            SampleOutcome outcome;
+            std::optional<double> claimsSeconds;
+            std::optional<double> authoritySeconds;
+            HealthCause cause;
+        };
+        const Row rows[] = {
+            {"3 times slower", 3.0, 0.0, SampleOutcome::Ok, 5.0, 15.0, HealthCause::Latency},
+            {"10 times slower", 10.0, 0.0, SampleOutcome::Ok, 2.0, 5.0, HealthCause::Latency},
+            {"hang", 1e6, 0.0, SampleOutcome::Ok, 2.0, 5.0, HealthCause::Stall},
+            {"truncated", 1.0, 1.0, SampleOutcome::IntegrityError, 2.0, 5.0, HealthCause::Integrity},
+            {"errors", 1.0, 1.0, SampleOutcome::Failed, 2.0, 5.0, HealthCause::Failure},
+            {"1.3 times slower", 1.3, 0.0, SampleOutcome::Ok, {}, {}, HealthCause::None},
+            {"short deadlines", 1.0, 0.5, SampleOutcome::TimedOut, {}, {}, HealthCause::None},
+            {"callers leave", 1.0, 0.5, SampleOutcome::Cancelled, {}, {}, HealthCause::None},
+            {"load shedding", 1.0, 0.9, SampleOutcome::Shed, {}, {}, HealthCause::None},
+        };
+        for (const Row &row : rows) {
+            for (const TrustProfile profile : {TrustProfile::Claims, TrustProfile::Authority}) {
+                Bench bench(profile);
+                bench.warm();
+                const auto detected = bench.run(seconds(20), [&] {
+                    auto [latency, outcome] = bench.healthy();
+                    const bool bad = std::uniform_real_distribution<double>()(bench.random) < row.badShare;
+                    return std::pair(Duration(static_cast<Duration::rep>(latency.count() * row.factor)), bad ? row.outcome : outcome);
+                });
+                const auto limit = profile == TrustProfile::Claims ? row.claimsSeconds : row.authoritySeconds;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, limit.has_value(), detected.has_value());
+                if (limit) {
+                    CPPUNIT_ASSERT_MESSAGE(row.name, std::chrono::duration<double>(*detected).count() <= *limit);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, causeName(row.cause), causeName(bench.lastCause));
+                }
+            }
+        }
+    }
+
+    /// Guards against ejecting upstreams because the home itself did not run.
+    void ownPauseIsNoEvidence()
+    {
+        Bench bench;
+        bench.warm();
+        for (std::uint64_t i = 0; i < 3; ++i) {
+            bench.observe.start(0, 1000000 + i, 0, bench.now);
+        }
+        bench.now += seconds(10);
+        bench.judge.tick(bench.now);
+        for (std::uint64_t i = 0; i < 3; ++i) {
+            bench.observe.finish(0, 1000000 + i, SampleOutcome::Ok, bench.now);
+        }
+        bench.judge.tick(bench.now + milliseconds(100));
+        CPPUNIT_ASSERT(bench.verdict() == HomeVerdict::Serving);
+        CPPUNIT_ASSERT(bench.table.judgements[0].severity < 0.5F);
+    }
+
+    /// Guards against evidence that outlives a median which follows late.
+    void commonSlowdownIsNoEvidence()
+    {
+        Bench bench;
+        bench.warm();
+        const auto slow = [&] {
+            auto [latency, outcome] = bench.healthy();
+            return std::pair(latency * 3, outcome);
+        };
+        CPPUNIT_ASSERT(!bench.run(milliseconds(800), slow, true));
+        for (int i = 0; i < 20; ++i) {
+            bench.observe.peerMedian(0, 0, milliseconds(60), bench.now);
+        }
+        CPPUNIT_ASSERT(!bench.run(seconds(60), slow, false));
+    }
+
+    /// Guards reinstatement: no trial before the time, none while probes fail, then trial, slow start and full share.
+    void returnsThroughTrialAndSlowStart()
+    {
+        Bench bench;
+        bench.warm();
+        const auto healthy = [&] {
+            return bench.healthy();
+        };
+        CPPUNIT_ASSERT(bench.run(seconds(5), [] {
+            return std::pair(Duration(milliseconds(20)), SampleOutcome::Failed);
+        }));
+        bench.probeOk = false;
+        bench.run(seconds(20), healthy);
+        CPPUNIT_ASSERT(bench.verdict() == HomeVerdict::Ejected);
+        bench.probeOk = true;
+        bench.run(milliseconds(1500), healthy);
+        CPPUNIT_ASSERT(bench.verdict() == HomeVerdict::Trial);
+        bench.run(seconds(2), healthy);
+        CPPUNIT_ASSERT(bench.verdict() == HomeVerdict::Cold);
+        CPPUNIT_ASSERT(bench.table.weight(0, bench.now) < 0.5F);
+        bench.run(seconds(11), healthy);
+        CPPUNIT_ASSERT(bench.verdict() == HomeVerdict::Serving);
+        CPPUNIT_ASSERT_EQUAL(1.0F, bench.table.weight(0, bench.now));
+    }
+
+    /// Guards against a flapping upstream that comes back at the same rate for ever.
+    void ejectionTimeGrows()
+    {
+        Bench bench;
+        bench.warm();
+        Duration last{0};
+        for (int i = 0; i < 7; ++i) {
+            const auto bad = [&] {
+                const bool trial = bench.verdict() == HomeVerdict::Ejected;
+                return trial ? bench.healthy() : std::pair(Duration(milliseconds(20)), SampleOutcome::IntegrityError);
+            };
+            CPPUNIT_ASSERT(bench.run(seconds(400), bad));
+            CPPUNIT_ASSERT(bench.lastEjection >= last && bench.lastEjection <= bench.table.ejectionMax);
+            last = bench.lastEjection;
+        }
+        CPPUNIT_ASSERT_EQUAL(bench.table.ejectionMax.count(), last.count());
+    }
+
+    /// Guards against shedding that is ignored, or held against the upstream.
+    void sheddingLowersShareOnly()
+    {
+        Bench bench;
+        bench.warm();
+        bench.run(seconds(3), [] {
+            return std::pair(Duration(milliseconds(1)), SampleOutcome::Shed);
+        });
+        CPPUNIT_ASSERT(bench.table.weight(0, bench.now) <= 0.2F && bench.table.weight(0, bench.now) > 0.0F);
+        CPPUNIT_ASSERT(bench.table.judgements[0].severity < 0.2F);
+        CPPUNIT_ASSERT_EQUAL(1.0F, bench.table.weight(0, bench.now + seconds(15)));
+    }
+
+    /// Guards the cap of 1% of slot time, also for probes that take far longer than expected.
+    void probesStayWithinSlotTime()
+    {
+        for (const int cost : {5, 25, 400}) {
+            Bench bench;
+            bench.table.judgements[0].verdict = HomeVerdict::Ejected;
+            Duration spent{0};
+            for (int tick = 0; tick < 20000; ++tick) {
+                bench.now += milliseconds(100);
+                for (const std::uint32_t row : bench.probe.tick(bench.now)) {
+                    spent += milliseconds(cost);
+                    bench.probe.finish(row, false, milliseconds(cost), bench.now);
+                }
+            }
+            CPPUNIT_ASSERT(spent > Duration(0));
+            CPPUNIT_ASSERT(std::chrono::duration<double>(spent).count() <= (0.01 * 3 * 2000.0) + (0.01 * 3 * 5.0) + (cost / 1000.0));
+        }
+    }
+
+    /// Guards who may send work to an upstream in which state.
+    void admissionByTable()
+    {
+        struct Row
+        {
+            HomeVerdict verdict;
+            UpstreamRule rule;
+            bool repeatable;
+            bool insist;
+            bool admitted;
+        };
+        const Row rows[] = {
+            {HomeVerdict::Serving, UpstreamRule::Judge, false, false, true},
+            {HomeVerdict::Cold, UpstreamRule::Judge, false, false, true},
+            {HomeVerdict::Ejected, UpstreamRule::Judge, true, false, false},
+            {HomeVerdict::Ejected, UpstreamRule::Judge, false, true, true},
+            {HomeVerdict::Ejected, UpstreamRule::Trust, false, false, true},
+            {HomeVerdict::Trial, UpstreamRule::Judge, true, false, true},
+            {HomeVerdict::Trial, UpstreamRule::Judge, false, false, false},
+            {HomeVerdict::Leaving, UpstreamRule::Judge, true, true, false},
+            {HomeVerdict::Serving, UpstreamRule::Aside, true, false, false},
+            {HomeVerdict::Serving, UpstreamRule::Aside, true, true, true},
+            {HomeVerdict::Serving, UpstreamRule::Retire, true, true, false},
+        };
+        for (const Row &row : rows) {
+            Bench bench(TrustProfile::Claims, row.rule);
+            bench.table.judgements[0].verdict = row.verdict;
+            CPPUNIT_ASSERT_EQUAL(row.admitted, bench.table.admits(0, row.repeatable, row.insist));
+        }
+    }
+
+    /// Guards against a new document that forgets judgements or requests in flight.
+    void configureKeepsState()
+    {
+        Document document;
+        document.services.push_back({"service", "services", TrustProfile::Claims, {}, 64});
+        document.upstreams.push_back({"a", "upstreams", 0, "vm", "d", 3, UpstreamRule::Judge});
+        UpstreamTable table;
+        table.configure(document, "vm", TimePoint());
+        ObserveSystem(table).start(0, 7, 0, TimePoint());
+        table.judgements[0].ejections = 4;
+        document.upstreams.insert(document.upstreams.begin(), {"b", "upstreams", 0, "vm", "d", 3, UpstreamRule::Retire});
+        document.upstreams.push_back({"c", "upstreams", 0, "other", "d", 3, UpstreamRule::Judge});
+        table.configure(document, "vm", TimePoint());
+        CPPUNIT_ASSERT_EQUAL(2U, table.size());
+        CPPUNIT_ASSERT(table.judgements[0].verdict == HomeVerdict::Leaving);
+        CPPUNIT_ASSERT_EQUAL(4U, table.judgements[1].ejections);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.inFlight[1].size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JudgeSystemTest);
--- /dev/null
+++ b/unittests/pathsystemtest.cpp
@@ -0,0 +1,133 @@
+#include <galenarack/health/pathsystem.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Galenarack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class PathSystemTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PathSystemTest);
+    CPPUNIT_TEST(statesByTable);
+    CPPUNIT_TEST(suspectsItselfWhenManyDegrade);
+    CPPUNIT_TEST(ownPauseSilencesNoPath);
+    CPPUNIT_TEST(oneWayCutIsFound);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Peers with a healthy past of 1 ms round trips.
+    struct Bench
+    {
+        explicit Bench(std::uint32_t peers)
+        {
+            for (std::uint32_t i = 0; i < peers; ++i) {
+                this->table.connected(this->table.add(std::to_string(i), this->now), this->now);
+            }
+            this->run(seconds(20), 0, Duration(1000));
+        }
+
+        /// The first `bad` peers answer after `roundTrip`, or never without one; the others after 1 ms.
+        void run(Duration length, std::uint32_t bad, std::optional<Duration> roundTrip)
+        {
+            for (const TimePoint end = this->now + length; this->now < end;) {
+                this->now += milliseconds(100);
+                const bool pings = (this->now - TimePoint()) % milliseconds(500) == Duration(0);
+                for (std::uint32_t i = 0; pings && i < this->table.rows.size(); ++i) {
+                    this->table.pingSent(i, this->now);
+                    if (i >= bad || roundTrip) {
+                        this->table.pingAnswered(i, i < bad ? *roundTrip : milliseconds(1), this->now);
+                    }
+                }
+                this->system.tick(this->now);
+            }
+        }
+
+        PathTable table;
+        PathSystem system{this->table};
+        TimePoint now;
+    };
+
+public:
+    /// Guards each state of a path and that it is left again.
+    void statesByTable()
+    {
+        struct Row
+        {
+            const char *name;
+            std::optional<Duration> roundTrip;
+            Duration length;
+            bool connectFails;
+            bool helloFails;
+            PathState state;
+        };
+        const Row rows[] = {
+            {"good", milliseconds(1), seconds(5), false, false, PathState::Good},
+            {"a little slower", milliseconds(2), seconds(20), false, false, PathState::Good},
+            {"10 times slower", milliseconds(10), seconds(5), false, false, PathState::Degraded},
+            {"overdue", std::nullopt, milliseconds(1300), false, false, PathState::Degraded},
+            {"silent", std::nullopt, milliseconds(2100), false, false, PathState::Silent},
+            {"cut", std::nullopt, milliseconds(2100), true, false, PathState::Cut},
+            {"frozen home", std::nullopt, milliseconds(2100), false, true, PathState::Frozen},
+        };
+        for (const Row &row : rows) {
+            Bench bench(5);
+            bench.run(row.length, 1, row.roundTrip);
+            if (row.connectFails) {
+                bench.table.connectFailed(0, bench.now);
+            }
+            if (row.helloFails) {
+                bench.table.helloUnanswered(0, bench.now);
+            }
+            bench.run(milliseconds(100), 1, row.roundTrip);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, pathStateName(row.state), pathStateName(bench.table.rows[0].state));
+            CPPUNIT_ASSERT_EQUAL(row.state == PathState::Good || row.state == PathState::Degraded, bench.table.isReachable(0));
+            CPPUNIT_ASSERT(bench.table.rows[1].state == PathState::Good);
+            bench.table.connected(0, bench.now);
+            bench.run(seconds(10), 1, milliseconds(1));
+            CPPUNIT_ASSERT_MESSAGE(row.name, bench.table.rows[0].state == PathState::Good);
+        }
+    }
+
+    /// Guards against an ingress with a fault of its own that takes peers away; a failed connection still counts.
+    void suspectsItselfWhenManyDegrade()
+    {
+        for (const std::optional<Duration> roundTrip : {std::optional<Duration>(milliseconds(20)), std::optional<Duration>()}) {
+            for (std::uint32_t bad = 0; bad <= 9; ++bad) {
+                Bench bench(9);
+                bench.run(seconds(5), bad, roundTrip);
+                CPPUNIT_ASSERT_EQUAL(bad >= 5, bench.system.suspectsSelf());
+                CPPUNIT_ASSERT_EQUAL(bad > 0 && bad < 5, bench.table.rows[0].state != PathState::Good);
+                if (bad > 0) {
+                    bench.table.connectFailed(0, bench.now);
+                    bench.run(milliseconds(100), bad, roundTrip);
+                    CPPUNIT_ASSERT(bench.table.rows[0].state == PathState::Cut);
+                }
+            }
+        }
+    }
+
+    /// Guards against paths judged by time in which this process did not run.
+    void ownPauseSilencesNoPath()
+    {
+        Bench bench(5);
+        bench.table.pingSent(0, bench.now);
+        bench.now += seconds(10);
+        bench.system.tick(bench.now);
+        CPPUNIT_ASSERT(bench.table.rows[0].state == PathState::Good);
+    }
+
+    /// Guards against a path whose way out is cut while frames still arrive.
+    void oneWayCutIsFound()
+    {
+        Bench bench(5);
+        for (int i = 0; i < 50; ++i) {
+            bench.run(milliseconds(100), 1, std::nullopt);
+            bench.table.heard(0, bench.now);
+        }
+        CPPUNIT_ASSERT(bench.table.rows[0].state == PathState::Silent);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PathSystemTest);
