--- a/galenarack/membership/gossipsystem.cpp
+++ b/galenarack/membership/gossipsystem.cpp
@@ -10,7 +10,8 @@
 
 constexpr unsigned doubtfulEvery = 4; ///< Periods between two probes of nodes that are gone or were never reached.
 constexpr std::size_t maxRelays = 64; ///< Probes made for other nodes at the same time.
-constexpr unsigned sendsPerDoubling = 3; ///< How often news is sent per doubling of the fleet (SWIM's lambda).
+constexpr unsigned sendsPerDoubling = 2; ///< How often news is sent per doubling of the fleet (SWIM's lambda).
+constexpr std::size_t maxCatchUpNews = 32; ///< News above which a member heard of for the first time is not passed on.
 constexpr unsigned syncFastAttempts = 10; ///< Unanswered requests after which a transfer goes on at the probe rate.
 
 } // namespace
@@ -43,6 +44,7 @@
         this->startProbes(now, out);
         this->table.removeExpired(now);
     }
+    this->announce(now, out);
     this->requestSync(now, out);
     return out;
 }
@@ -124,11 +126,13 @@
     }
     this->self.marks = std::move(marks);
     ++this->self.counter;
+    this->hasAnnouncement = true;
     this->selfChanged();
 }
 
 void GossipSystem::setLeaving()
 {
+    this->hasAnnouncement = this->hasAnnouncement || !this->self.leaving;
     this->self.leaving = true;
     this->selfChanged();
 }
@@ -212,6 +216,19 @@
     }
 }
 
+void GossipSystem::announce(TimePoint now, std::vector<GossipDelivery> &out)
+{
+    if (!this->hasAnnouncement || now < this->nextAnnouncement) {
+        return;
+    }
+    // A few first receivers save the rounds in which only one or two nodes know.
+    this->hasAnnouncement = false;
+    this->nextAnnouncement = now + this->settings.probePeriod;
+    for (const MemberRow *row : this->takeRandom(this->reachableRows(), this->settings.announcements)) {
+        this->sendProbe(*row, now, out);
+    }
+}
+
 void GossipSystem::requestSync(TimePoint now, std::vector<GossipDelivery> &out)
 {
     if (!this->sync.active || now < this->sync.nextRequest) {
@@ -254,17 +271,9 @@
     if (target == nullptr || target->goneSince || target->incarnation.value == 0) {
         return;
     }
-    std::vector<const MemberRow *> thirds;
-    for (const auto &[name, row] : this->table.all()) {
-        const bool isUsable = row.incarnation.value != 0 && !row.goneSince && !row.suspectedSince;
-        if (isUsable && name != this->self.name && name != probe.target) {
-            thirds.push_back(&row);
-        }
-    }
-    for (unsigned i = 0; i < this->settings.indirectProbes && !thirds.empty(); ++i) {
-        const std::size_t index = this->random() % thirds.size();
-        const MemberRow *third = std::exchange(thirds[index], thirds.back());
-        thirds.pop_back();
+    std::vector<const MemberRow *> thirds = this->reachableRows();
+    std::erase(thirds, target);
+    for (const MemberRow *third : this->takeRandom(std::move(thirds), this->settings.indirectProbes)) {
         GossipMessage message = this->makeMessage(GossipKind::IndirectProbe, number);
         message.target = probe.target;
         // The third node passes a suspicion on to the target, which can refute it in its acknowledgement.
@@ -348,7 +357,7 @@
         return item.second.incarnation.value == 0 && !this->unreached.contains(item.first);
     });
     this->sync.active = hasUnknown && this->sync.passes < this->settings.syncPasses;
-    this->sync.nextRequest = now + this->settings.probePeriod * this->sync.passes;
+    this->sync.nextRequest = now + this->settings.probePeriod;
 }
 
 bool GossipSystem::merge(const MemberUpdate &update, bool firstHand, TimePoint now)
@@ -357,8 +366,13 @@
         this->refute(update);
         return false;
     }
+    const MemberRow *row = this->table.find(update.name);
+    const bool isFirstMention = row == nullptr || row->incarnation.value == 0;
     const MergeResult result = this->table.applyUpdate(update, firstHand, now);
-    if (result.news) {
+    // When a whole fleet starts, every row is new to every node. Passing all of them on would hold up real news for
+    // minutes, and the table transfers and the fill carry them anyway.
+    const bool isCatchUp = isFirstMention && ((this->sync.active && !firstHand) || this->news.size() >= maxCatchUpNews);
+    if (result.news && !isCatchUp) {
         this->enqueue(update.name);
     }
     return result.behind;
@@ -375,6 +389,8 @@
     }
     this->self.leaving = this->self.leaving || isNewlyLeaving;
     if (isAbove || isNewlyLeaving) {
+        // A refutation must be faster than the suspicion.
+        this->hasAnnouncement = true;
         this->selfChanged();
     }
 }
@@ -526,6 +542,27 @@
     return this->pickRow(rows);
 }
 
+std::vector<const MemberRow *> GossipSystem::takeRandom(std::vector<const MemberRow *> rows, std::size_t count)
+{
+    for (std::size_t i = 0; i < std::min(count, rows.size()); ++i) {
+        std::swap(rows[i], rows[i + this->random() % (rows.size() - i)]);
+    }
+    rows.resize(std::min(count, rows.size()));
+    return rows;
+}
+
+std::vector<const MemberRow *> GossipSystem::reachableRows() const
+{
+    std::vector<const MemberRow *> rows;
+    for (const auto &[name, row] : this->table.all()) {
+        const bool isReachable = row.incarnation.value != 0 && !row.goneSince && !row.suspectedSince;
+        if (isReachable && name != this->self.name) {
+            rows.push_back(&row);
+        }
+    }
+    return rows;
+}
+
 const MemberRow *GossipSystem::pickRow(const std::vector<const MemberRow *> &rows)
 {
     return rows.empty() ? nullptr : rows[this->random() % rows.size()];
--- a/galenarack/membership/gossipsystem.h
+++ b/galenarack/membership/gossipsystem.h
@@ -25,9 +25,11 @@
     Duration suspicionBase = std::chrono::seconds(3); ///< Suspicion time of a fleet of one.
     Duration suspicionPerDoubling = std::chrono::seconds(1); ///< Added per doubling of the fleet, as spreading takes log2 n rounds.
     unsigned indirectProbes = 3; ///< Third nodes asked when a probe fails.
+    unsigned announcements = 4; ///< Nodes told at once when this node's marks or leaving change, at most once a period.
     unsigned maxUpdates = 6; ///< Updates in a message, besides the sender's own row.
-    Duration syncPeriod = std::chrono::milliseconds(250); ///< Between two requests of a table transfer.
-    unsigned syncPasses = 3; ///< Transfers after a start or pause while some members are unknown.
+    /// Between two requests of a table transfer. Two replies a second of 1,200 bytes keep a start under 4 KB/s received.
+    Duration syncPeriod = std::chrono::milliseconds(500);
+    unsigned syncPasses = 12; ///< Transfers after a start or pause while some members are unknown.
     unsigned fillUpdates = 2; ///< Updates in a message when there is no news; repairs what was missed.
 };
 
@@ -135,6 +137,7 @@
     void endSuspicions(TimePoint now);
     void trustAgain(TimePoint now);
     void startProbes(TimePoint now, std::vector<GossipDelivery> &out);
+    void announce(TimePoint now, std::vector<GossipDelivery> &out);
     void requestSync(TimePoint now, std::vector<GossipDelivery> &out);
     void sendProbe(const MemberRow &target, TimePoint now, std::vector<GossipDelivery> &out);
     void sendIndirect(std::uint32_t sequence, const PendingProbe &probe, std::vector<GossipDelivery> &out);
@@ -158,6 +161,8 @@
 
     const MemberRow *nextProbeTarget();
     const MemberRow *nextDoubtfulTarget();
+    std::vector<const MemberRow *> takeRandom(std::vector<const MemberRow *> rows, std::size_t count);
+    std::vector<const MemberRow *> reachableRows() const;
     const MemberRow *pickRow(const std::vector<const MemberRow *> &rows);
     bool isReachableCandidate(const MemberRow &row) const;
     std::uint32_t nextSequence();
@@ -172,6 +177,8 @@
     std::optional<TimePoint> lastTick;
     std::optional<TimePoint> distrustFrom;
     TimePoint nextProbe;
+    TimePoint nextAnnouncement;
+    bool hasAnnouncement = false; ///< This node's marks or leaving changed since the last announcement.
     std::uint64_t period = 0; ///< Probe periods since the start.
     std::uint32_t sequence = 0;
     std::map<std::uint32_t, PendingProbe> pending;
