--- a/galenarack/core/log.cpp
+++ b/galenarack/core/log.cpp
@@ -2,12 +2,14 @@
 
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/mdc.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
 
+#include <array>
+#include <cstdio>
+#include <ctime>
 #include <memory>
-#include <vector>
 
 namespace Galenarack {
 
@@ -28,32 +30,92 @@
     return log4cxx::Level::getInfo();
 }
 
-std::string fieldText(const LogField &field)
+std::string_view levelName(LogLevel level)
 {
-    struct Visitor
-    {
-        std::string operator()(std::string_view text) const
-        {
-            return std::string(text);
-        }
-        std::string operator()(std::int64_t number) const
-        {
-            return std::to_string(number);
-        }
-        std::string operator()(double number) const
-        {
-            return std::to_string(number);
-        }
-    };
-    return std::visit(Visitor(), field.value);
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warn:
+        return "warn";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "info";
+}
+
+/// UTC in the form of RFC 3339 with milliseconds.
+std::string timeText(std::chrono::system_clock::time_point time)
+{
+    const std::int64_t total = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const std::time_t seconds = total / 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 64> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(total % 1000));
+    return text.data();
+}
+
+std::string boundedText(std::string_view text, std::size_t limit)
+{
+    if (text.size() <= limit) {
+        return std::string(text);
+    }
+    return std::string(text.substr(0, limit)) + "...";
 }
 
+std::string dumpAscii(const nlohmann::ordered_json &value)
+{
+    return value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+/// Makes the JSON form of a field's value, bounded in length.
+struct FieldValue
+{
+    nlohmann::ordered_json operator()(std::string_view text) const
+    {
+        return boundedText(text, maxLogTextBytes);
+    }
+    nlohmann::ordered_json operator()(std::int64_t number) const
+    {
+        return number;
+    }
+    nlohmann::ordered_json operator()(double number) const
+    {
+        return number;
+    }
+    nlohmann::ordered_json operator()(const nlohmann::ordered_json *object) const
+    {
+        const std::string text = dumpAscii(*object);
+        return text.size() <= maxLogObjectBytes ? *object : nlohmann::ordered_json(boundedText(text, maxLogObjectBytes));
+    }
+};
+
 } // namespace
 
+std::string formatLogLine(LogLevel level,
+                          std::string_view component,
+                          std::string_view message,
+                          std::initializer_list<LogField> fields,
+                          std::chrono::system_clock::time_point time)
+{
+    nlohmann::ordered_json line;
+    line["time"] = timeText(time);
+    line["level"] = levelName(level);
+    line["component"] = component;
+    line["message"] = boundedText(message, maxLogTextBytes);
+    for (const LogField &field : fields) {
+        line[std::string(field.key)] = std::visit(FieldValue(), field.value);
+    }
+    return dumpAscii(line);
+}
+
 void configureLogging(LogLevel lowest)
 {
-    const auto layout = std::make_shared<log4cxx::JSONLayout>();
-    layout->setLocationInfo(false);
+    // The line is complete; the layout of log4cxx only ends it.
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(toLog4cxxLevel(lowest));
@@ -71,13 +133,7 @@
     if (!logger->isEnabledFor(log4cxxLevel)) {
         return;
     }
-    for (const LogField &field : fields) {
-        log4cxx::MDC::put(std::string(field.key), fieldText(field));
-    }
-    logger->forcedLog(log4cxxLevel, std::string(message));
-    for (const LogField &field : fields) {
-        log4cxx::MDC::remove(std::string(field.key));
-    }
+    logger->forcedLog(log4cxxLevel, formatLogLine(level, this->component, message, fields, std::chrono::system_clock::now()));
 }
 
 void Log::info(std::string_view message, std::initializer_list<LogField> fields) const
--- a/galenarack/core/log.h
+++ b/galenarack/core/log.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -8,11 +12,11 @@
 
 namespace Galenarack {
 
-/// One named value of a log line.
+/// One named value of a log line. Usual keys: "request_id", "error_kind", "upstream", "service", "node".
 struct LogField
 {
     std::string_view key;
-    std::variant<std::string_view, std::int64_t, double> value;
+    std::variant<std::string_view, std::int64_t, double, const nlohmann::ordered_json *> value;
 };
 
 /// Severity of a log line.
@@ -23,17 +27,31 @@
     Error,
 };
 
+/// Longest text of a message or value in bytes; the rest is cut off.
+inline constexpr std::size_t maxLogTextBytes = 1024;
+
+/// Longest JSON value in bytes. A longer one is written as text that is cut off.
+inline constexpr std::size_t maxLogObjectBytes = 16384;
+
 /// Sends all log lines of the process to standard error as JSON lines. Call once, before the first Log.
 void configureLogging(LogLevel lowest);
 
+/// Builds one line without the line feed: a JSON object with "time", "level", "component", "message" and the fields. It is
+/// ASCII: other characters are escaped and bytes that are not UTF-8 become U+FFFD.
+std::string formatLogLine(LogLevel level,
+                          std::string_view component,
+                          std::string_view message,
+                          std::initializer_list<LogField> fields,
+                          std::chrono::system_clock::time_point time);
+
 /// Writes JSON log lines for one component through log4cxx.
 class Log
 {
 public:
-    /// @param component name in the "logger" member of each line, e.g. "home"
+    /// @param component value of the "component" member of each line, e.g. "home"
     explicit Log(std::string_view component);
 
-    /// Writes one line; `fields` become members of "context_map".
+    /// Writes one line; `fields` become its members.
     void write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {}) const;
 
     void info(std::string_view message, std::initializer_list<LogField> fields = {}) const;
--- a/galenarack/operators/audittrail.cpp
+++ b/galenarack/operators/audittrail.cpp
@@ -106,8 +106,8 @@
         this->entries.pop_front();
     }
     const AuditEntry &entry = this->entries.back();
-    const std::string text = toJson(entry).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    this->log.info(auditKindName(entry.record), {{"record", text}});
+    const nlohmann::ordered_json object = toJson(entry);
+    this->log.info(auditKindName(entry.record), {{"record", &object}});
 }
 
 std::vector<AuditEntry> AuditTrail::after(std::uint64_t number) const
--- a/galenarackctl/command.cpp
+++ b/galenarackctl/command.cpp
@@ -1,8 +1,13 @@
 #include "command.h"
 
+#include "auditcommand.h"
 #include "checkcommand.h"
 #include "diffcommand.h"
+#include "explaincommand.h"
 #include "manifestcommand.h"
+#include "outcomecommand.h"
+#include "statuscommand.h"
+#include "upstreamscommand.h"
 
 #include <array>
 #include <ostream>
@@ -19,6 +24,14 @@
             "FILE...",
             "write the values of the sections and the manifest, to be published (--revision, --previous, --fleet, --remove, --output_dir)",
             &runManifest},
+        Command{"status", "", "print revision, readiness and members of each node (--nodes)", &runStatus},
+        Command{"upstreams", "[SERVICE]", "print the upstreams as each node sees them (--nodes)", &runUpstreams},
+        Command{"explain",
+                "SUBJECT NAME [KEY=VALUE...]",
+                "print why a node treats a route, upstream, service or account as it does (--nodes)",
+                &runExplain},
+        Command{"outcome", "ID", "print what each node knows about the execution of a request (--nodes)", &runOutcome},
+        Command{"audit", "[AFTER]", "print the audit trail of each node, records above AFTER (--nodes)", &runAudit},
     };
     return commands;
 }
--- a/galenarackctl/command.h
+++ b/galenarackctl/command.h
@@ -13,6 +13,7 @@
     Ok = 0,
     Findings = 1, ///< The command worked and found errors or differences, or the node reported a failure.
     Usage = 2, ///< Wrong command, argument or flag, or a file that cannot be read or written.
+    NoAnswer = 3, ///< A node did not answer; what the others said is printed.
 };
 
 /// What a command gets to run with.
--- a/galenarackctl/main.cpp
+++ b/galenarackctl/main.cpp
@@ -22,7 +22,8 @@
         text += "  " + std::string(command.name) + " " + std::string(command.arguments) + "\n      " + std::string(command.summary) + "\n";
     }
     return text
-           + "\nExit code: 0 ok, 1 findings, 2 usage. Each flag is also an environment variable: GALENARACK_ and its name in capitals.";
+           + "\nExit code: 0 ok, 1 findings, 2 usage, 3 a node did not answer. Each flag is also an environment variable: GALENARACK_ and "
+             "its name in capitals.";
 }
 
 /// Sets the flags that the environment names; the command line goes before them.
--- a/unittests/gossipfleet.h
+++ b/unittests/gossipfleet.h
@@ -35,7 +35,7 @@
         : random(seed)
     {
         for (std::size_t i = 0; i < size; ++i) {
-            this->list.push_back(VmEntry{"vm-" + std::to_string(i), addressOf(i), "kl-" + std::string(1, char('a' + i % 6))});
+            this->list.push_back(ListedVm{"vm-" + std::to_string(i), addressOf(i), "kl-" + std::string(1, char('a' + i % 6))});
             this->nodes.emplace_back();
             this->startNode(i);
         }
@@ -47,7 +47,7 @@
     /// Starts a node with a new incarnation; it knows only the VM list.
     void startNode(std::size_t index)
     {
-        const VmEntry &vm = this->list[index];
+        const ListedVm &vm = this->list[index];
         MemberUpdate self;
         self.name = vm.name;
         self.address = vm.address;
@@ -155,7 +155,7 @@
 
     TimePoint now = TimePoint(std::chrono::hours(1));
     std::vector<Node> nodes;
-    std::vector<VmEntry> list;
+    std::vector<ListedVm> list;
     std::set<std::pair<std::size_t, std::size_t>> cuts; ///< Sender and receiver.
     unsigned lossPercent = 0;
     std::mt19937_64 random;
