Join health judgement, floor, selection and metrics to the request path

Change: the home observes each request, judges, probes and polls the drain sign; responses and heartbeats carry the report; UpstreamDirectory at the ingress applies paths, membership and floor and selects; account limits, metrics and audit records are joined. Ruled out: a push of verdicts to all ingresses; a refusal as not run tells the next request's ingress at the cost of one round trip.

--- a/galenarack/home/fairqueue.h
+++ b/galenarack/home/fairqueue.h
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/clock.h>
 
+#include <cassert>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -38,6 +39,13 @@
     /// @return whether it was waiting
     bool remove(Ticket ticket);
 
+    /// Changes the limit; requests that wait already stay.
+    void setLimit(std::size_t limit)
+    {
+        assert(limit > 0);
+        this->limit = limit;
+    }
+
     /// @return requests waiting
     std::size_t size() const
     {
--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -4,6 +4,8 @@
 #include <galenarack/core/scopeguard.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -20,8 +22,17 @@
 constexpr std::string_view idempotencyKeyField = "idempotency-key";
 constexpr std::string_view retryAfterField = "retry-after";
 
-/// Weight of a new sample in the smoothed latency.
-constexpr double latencySmoothing = 0.1;
+/// An upstream that sent a response within this time has shown its drain sign; others are asked at this interval.
+constexpr Duration drainPollInterval = std::chrono::seconds(1);
+constexpr Duration pollTimeout = std::chrono::milliseconds(800);
+
+/// A probe that takes longer than this has failed; good ones take about 25 ms.
+constexpr Duration probeTimeout = std::chrono::seconds(1);
+
+constexpr std::string_view drainPath = "/drain";
+constexpr std::string_view healthPath = "/health";
+constexpr unsigned serviceUnavailable = 503;
+constexpr unsigned firstServerError = 500;
 
 /// Assumed until a first revision names the upstream; then the document decides.
 constexpr std::uint32_t initialSlots = 1;
@@ -93,9 +104,17 @@
                    NodeIdentity identity,
                    std::span<const HomeUpstream> upstreams,
                    UpstreamLimits upstreamLimits,
-                   LedgerLimits ledgerLimits)
+                   LedgerLimits ledgerLimits,
+                   Metrics &metrics,
+                   AuditTrail &audit,
+                   std::mt19937_64 random)
     : executor(executor)
     , identity(std::move(identity))
+    , metrics(metrics)
+    , audit(audit)
+    , observeSystem(this->table)
+    , judgeSystem(this->table)
+    , probeSystem(this->table, random)
     , ledger(this->identity.incarnation, ledgerLimits, NodeClock::now())
     , log("home")
 {
@@ -110,6 +129,7 @@
 
 void HomeNode::applyDocument(const Document &document)
 {
+    this->table.configure(document, this->identity.vm, NodeClock::now());
     for (HomeUpstreamRow &row : this->rows) {
         const auto index = document.findUpstream(row.name);
         if (!index || document.upstreams[*index].vm != this->identity.vm) {
@@ -118,8 +138,8 @@
         }
         const UpstreamRow &upstream = document.upstreams[*index];
         row.service = document.services[upstream.service].name;
-        row.rule = upstream.rule;
         row.admission->setSlots(upstream.slots);
+        row.admission->setQueueLimit(document.services[upstream.service].queueLimit);
     }
 }
 
@@ -134,9 +154,9 @@
         co_return errorResponse(meta.status());
     }
     if (meta->repeatable) {
-        co_return this->toPeerResponse(co_await this->runRepeatable(*meta, *call), meta->upstream);
+        co_return this->toPeerResponse(co_await this->runRepeatable(*meta, *call), *meta);
     }
-    co_return this->toPeerResponse(co_await this->runOnce(*meta, *call), meta->upstream);
+    co_return this->toPeerResponse(co_await this->runOnce(*meta, *call), *meta);
 }
 
 asio::awaitable<absl::StatusOr<PeerResponse>> HomeNode::runRepeatable(const ForwardMeta &meta, PeerCall &call)
@@ -206,7 +226,10 @@
         claim.cancel();
     });
     const TimePoint expiry = fromMilliseconds(job.meta.expiryMs);
-    const absl::Status admitted = co_await row->admission->acquire(claim, job.meta.account, expiry, row->typicalLatency, job.meta.mayQueue);
+    const auto health = this->table.find(job.meta.upstream);
+    const Duration usual
+        = health ? this->table.recentLatency(*health, routeClassOf(job.meta.routeClass), NodeClock::now()) : Duration::zero();
+    const absl::Status admitted = co_await row->admission->acquire(claim, job.meta.account, expiry, usual, job.meta.mayQueue);
     job.call.cancellation.setAction(nullptr);
     if (!admitted.ok()) {
         co_return admitted;
@@ -240,16 +263,54 @@
         co_return refusal(*expired);
     }
     job.dispatched = true;
+    const std::uint64_t token = ++this->nextToken;
+    if (const auto health = this->table.find(row.name)) {
+        this->observeSystem.start(*health, token, routeClassOf(job.meta.routeClass), now);
+    }
     const PeerRequest request = toUpstreamRequest(job.call.request, job.meta, now, expiry);
     auto response = co_await row.pool->request(request, job.meta.id.toString(), expiry, upstreamCall);
+    const bool wasCancelled = job.work == nullptr && job.call.cancellation.isRequested();
     job.call.cancellation.setAction(nullptr);
+    auto result = this->interpret(row, std::move(response));
+    if (wasCancelled && !result.ok()) {
+        result = refusal(ErrorKind::Cancelled);
+    }
+    this->observeEnd(job.meta, token, result);
+    co_return result;
+}
 
-    if (response.ok()) {
-        const Duration latency = NodeClock::now() - now;
-        row.typicalLatency
-            += Duration(static_cast<Duration::rep>(latencySmoothing * static_cast<double>((latency - row.typicalLatency).count())));
+void HomeNode::observeEnd(const ForwardMeta &meta, std::uint64_t token, const absl::StatusOr<PeerResponse> &result)
+{
+    const auto row = this->table.find(meta.upstream);
+    if (!row) {
+        return;
+    }
+    const TimePoint now = NodeClock::now();
+    if (meta.serviceMedianUs > 0) {
+        this->observeSystem.peerMedian(*row, routeClassOf(meta.routeClass), Duration(meta.serviceMedianUs), now);
+    }
+    if (result.ok()) {
+        this->observeSystem.finish(*row, token, result->status >= firstServerError ? SampleOutcome::Failed : SampleOutcome::Ok, now);
+        return;
+    }
+    switch (errorKindOf(result.status())) {
+    case ErrorKind::UpstreamShedding:
+        this->observeSystem.finish(*row, token, SampleOutcome::Shed, now, std::chrono::seconds(1));
+        break;
+    case ErrorKind::UpstreamAnswerCut:
+    case ErrorKind::UpstreamAnswerInvalid:
+    case ErrorKind::UpstreamAnswerTooLarge:
+        this->observeSystem.finish(*row, token, SampleOutcome::IntegrityError, now);
+        break;
+    case ErrorKind::Timeout:
+        this->observeSystem.finish(*row, token, SampleOutcome::TimedOut, now);
+        break;
+    case ErrorKind::Cancelled:
+        this->observeSystem.finish(*row, token, SampleOutcome::Cancelled, now);
+        break;
+    default:
+        this->observeSystem.finish(*row, token, SampleOutcome::Failed, now);
     }
-    co_return this->interpret(row, std::move(response));
 }
 
 absl::Status HomeNode::checkUpstream(const ForwardMeta &meta, const HomeUpstreamRow *row) const
@@ -263,9 +324,21 @@
     if (row == nullptr || row->service.empty()) {
         return makeError(ErrorKind::UpstreamUnknown, "this node is not the home of upstream " + meta.upstream);
     }
-    if (row->drainSign || row->rule == UpstreamRule::Retire) {
+    return this->checkVerdict(meta);
+}
+
+absl::Status HomeNode::checkVerdict(const ForwardMeta &meta) const
+{
+    const auto row = this->table.find(meta.upstream);
+    if (!row) {
+        return makeError(ErrorKind::UpstreamUnknown, "this node is not the home of upstream " + meta.upstream);
+    }
+    if (this->table.judgements[*row].verdict == HomeVerdict::Leaving) {
         return makeError(ErrorKind::Draining, "upstream " + meta.upstream + " is leaving");
     }
+    if (!this->table.admits(*row, meta.repeatable, meta.insist)) {
+        return makeError(ErrorKind::UpstreamEjected, "upstream " + meta.upstream + " is ejected");
+    }
     return absl::OkStatus();
 }
 
@@ -274,18 +347,29 @@
     if (!response.ok()) {
         return response;
     }
-    const bool drainSign = response->headers.find(drainField) == "1";
-    if (drainSign && !row.drainSign) {
-        this->log.info("upstream is leaving", {{"upstream", row.name}, {"signal", "drain header"}});
-    }
-    row.drainSign = drainSign;
-    constexpr unsigned serviceUnavailable = 503;
+    row.lastResponse = NodeClock::now();
+    this->takeDrainSign(row, response->headers.find(drainField) == "1", "drain header");
     if (response->status == serviceUnavailable && response->headers.find(retryAfterField)) {
         return makeError(ErrorKind::UpstreamShedding, "the upstream sheds load");
     }
     return response;
 }
 
+void HomeNode::takeDrainSign(HomeUpstreamRow &row, bool drainSign, std::string_view signal)
+{
+    const auto health = this->table.find(row.name);
+    if (drainSign == row.drainSign || !health) {
+        return;
+    }
+    row.drainSign = drainSign;
+    if (drainSign) {
+        this->table.markLeaving(*health, NodeClock::now());
+        this->audit.append(DrainStarted{row.name, std::string(signal), row.admission->inFlight()});
+    } else {
+        this->table.markCold(*health, NodeClock::now());
+    }
+}
+
 void HomeNode::recordEnd(const WorkId &work, const Job &job, const absl::StatusOr<PeerResponse> &result)
 {
     const TimePoint now = NodeClock::now();
@@ -328,12 +412,121 @@
     } else if (const auto *refused = std::get_if<LedgerDecision::Refuse>(&decision)) {
         result = refusal(refused->kind);
     }
-    co_return this->toPeerResponse(std::move(result), meta->upstream);
+    co_return this->toPeerResponse(std::move(result), *meta);
 }
 
 void HomeNode::tick(TimePoint now)
 {
     this->ledger.expire(now);
+    this->reportVerdicts(this->judgeSystem.tick(now));
+    for (const std::uint32_t row : this->probeSystem.tick(now)) {
+        asio::co_spawn(
+            this->executor,
+            [this, name = this->table.names[row]]() -> asio::awaitable<void> {
+                co_await this->probe(name);
+            },
+            asio::detached);
+    }
+    this->pollDrainSigns(now);
+    for (const HomeUpstreamRow &row : this->rows) {
+        const SlotAdmission &admission = *row.admission;
+        this->metrics.setHomeLoad(row.name,
+                                  HomeLoad{admission.inFlight(), static_cast<std::uint32_t>(admission.queued()), admission.slotCount()});
+    }
+    this->metrics.setLedger(this->ledger.entryCount(), this->ledger.responseByteCount());
+}
+
+void HomeNode::reportVerdicts(std::span<const VerdictChange> changes)
+{
+    for (const VerdictChange &change : changes) {
+        const std::string &name = this->table.names[change.row];
+        const HomeUpstreamRow *row = this->findRow(name);
+        const std::string service = row == nullptr ? std::string() : row->service;
+        const std::string evidence = "severity " + std::to_string(change.severity) + ", latency " + std::to_string(change.latencyEvidence)
+                                     + ", stall " + std::to_string(change.stallEvidence) + ", failure "
+                                     + std::to_string(change.failureEvidence);
+        if (change.to == HomeVerdict::Ejected) {
+            UpstreamEjected record;
+            record.upstream = name;
+            record.service = service;
+            record.reason = causeName(change.cause);
+            record.evidence = evidence;
+            record.durationMs = std::chrono::duration_cast<std::chrono::milliseconds>(change.ejectionTime).count();
+            this->audit.append(std::move(record));
+            this->metrics.countEjection(name);
+        } else if (change.from == HomeVerdict::Ejected || change.from == HomeVerdict::Trial) {
+            this->audit.append(UpstreamReinstated{name, service, std::string(verdictName(change.to)) + "; " + evidence});
+            this->metrics.countReinstatement(name);
+        }
+    }
+}
+
+asio::awaitable<void> HomeNode::probe(std::string name)
+{
+    const TimePoint start = NodeClock::now();
+    HomeUpstreamRow *row = this->findRow(name);
+    bool isGood = false;
+    if (row != nullptr) {
+        PeerRequest request;
+        request.method = "GET";
+        request.path = healthPath;
+        UpstreamCall call;
+        const auto response = co_await row->pool->request(request, "", start + probeTimeout, call);
+        isGood = response.ok() && response->status < firstServerError;
+    }
+    const TimePoint end = NodeClock::now();
+    if (const auto health = this->table.find(name)) {
+        this->probeSystem.finish(*health, isGood, end - start, end);
+    }
+}
+
+void HomeNode::pollDrainSigns(TimePoint now)
+{
+    for (HomeUpstreamRow &row : this->rows) {
+        const TimePoint last = std::max(row.lastResponse, row.lastDrainPoll);
+        if (row.service.empty() || row.drainPollPending || now - last < drainPollInterval) {
+            continue;
+        }
+        row.drainPollPending = true;
+        row.lastDrainPoll = now;
+        asio::co_spawn(
+            this->executor,
+            [this, name = row.name]() -> asio::awaitable<void> {
+                co_await this->pollDrainSign(name);
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> HomeNode::pollDrainSign(std::string name)
+{
+    HomeUpstreamRow &row = *this->findRow(name);
+    const ScopeGuard finished([&row] {
+        row.drainPollPending = false;
+    });
+    PeerRequest request;
+    request.method = "GET";
+    request.path = drainPath;
+    UpstreamCall call;
+    const auto response = co_await row.pool->request(request, "", NodeClock::now() + pollTimeout, call);
+    // An upstream that can't be reached says nothing about leaving.
+    if (response.ok()) {
+        this->takeDrainSign(row, response->status == serviceUnavailable, "drain endpoint");
+    }
+}
+
+std::vector<UpstreamMark> HomeNode::marks() const
+{
+    std::vector<UpstreamMark> marks;
+    for (std::uint32_t row = 0; row < this->table.size(); ++row) {
+        const HomeVerdict verdict = this->table.judgements[row].verdict;
+        if (verdict == HomeVerdict::Ejected) {
+            marks.push_back({this->table.names[row], UpstreamMarkKind::Ejected});
+        } else if (verdict == HomeVerdict::Leaving) {
+            marks.push_back({this->table.names[row], UpstreamMarkKind::Leaving});
+        }
+    }
+    return fittingMarks(std::move(marks));
 }
 
 void HomeNode::drain()
@@ -341,9 +534,16 @@
     this->draining = true;
 }
 
-std::vector<NamedUpstreamReport> HomeNode::reports(TimePoint /*now*/) const
+std::vector<NamedUpstreamReport> HomeNode::reports(TimePoint now) const
 {
-    return {};
+    std::vector<NamedUpstreamReport> reports;
+    for (const HomeUpstreamRow &row : this->rows) {
+        if (const auto health = this->table.find(row.name)) {
+            const auto queued = static_cast<std::uint32_t>(row.admission->queued());
+            reports.push_back({row.name, this->table.report(*health, routeClassOf(0), queued, now)});
+        }
+    }
+    return reports;
 }
 
 HomeUpstreamRow *HomeNode::findRow(std::string_view name)
@@ -352,23 +552,17 @@
     return row == this->rows.end() ? nullptr : &*row;
 }
 
-void HomeNode::appendLoad(std::string_view upstream, HeaderList &headers)
-{
-    const HomeUpstreamRow *row = this->findRow(upstream);
-    if (row == nullptr) {
-        return;
-    }
-    const SlotAdmission &admission = *row->admission;
-    headers.add(PeerHeader::load,
-                std::to_string(admission.inFlight()) + "," + std::to_string(admission.queued()) + ","
-                    + std::to_string(admission.slotCount()));
-}
-
-PeerResponse HomeNode::toPeerResponse(absl::StatusOr<PeerResponse> result, std::string_view upstream)
+PeerResponse HomeNode::toPeerResponse(absl::StatusOr<PeerResponse> result, const ForwardMeta &meta)
 {
+    const TimePoint now = NodeClock::now();
     PeerResponse response = result.ok() ? std::move(*result) : errorResponse(result.status());
-    response.headers.add(PeerHeader::clockMs, std::to_string(toMilliseconds(NodeClock::now())));
-    this->appendLoad(upstream, response.headers);
+    response.headers.add(PeerHeader::clockMs, std::to_string(toMilliseconds(now)));
+    const HomeUpstreamRow *row = this->findRow(meta.upstream);
+    const auto health = this->table.find(meta.upstream);
+    if (row != nullptr && health) {
+        const auto queued = static_cast<std::uint32_t>(row->admission->queued());
+        appendReport(this->table.report(*health, routeClassOf(meta.routeClass), queued, now), response.headers);
+    }
     return response;
 }
 
--- a/galenarack/home/homenode.h
+++ b/galenarack/home/homenode.h
@@ -4,8 +4,15 @@
 #include <galenarack/core/nodeidentity.h>
 #include <galenarack/document/document.h>
 #include <galenarack/execution/executionledger.h>
+#include <galenarack/health/judgesystem.h>
+#include <galenarack/health/observesystem.h>
+#include <galenarack/health/probesystem.h>
+#include <galenarack/health/upstreamtable.h>
 #include <galenarack/home/slotadmission.h>
 #include <galenarack/home/upstreampool.h>
+#include <galenarack/membership/gossipmessage.h>
+#include <galenarack/operators/audittrail.h>
+#include <galenarack/operators/metrics.h>
 #include <galenarack/peer/forwardmeta.h>
 #include <galenarack/peer/peercontrol.h>
 #include <galenarack/peer/peersession.h>
@@ -16,6 +23,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <random>
 #include <span>
 #include <string>
 #include <variant>
@@ -37,9 +45,10 @@
     std::string service; ///< Empty while the document does not name the upstream.
     std::unique_ptr<SlotAdmission> admission;
     std::unique_ptr<UpstreamPool> pool;
-    UpstreamRule rule = UpstreamRule::Judge;
     bool drainSign = false; ///< The upstream said that it is leaving.
-    Duration typicalLatency = Duration::zero(); ///< Smoothed; work that could not end in time is not queued for it.
+    bool drainPollPending = false;
+    TimePoint lastResponse; ///< Last response, which carries the drain sign.
+    TimePoint lastDrainPoll;
 };
 
 /// Runs the work for the upstreams on this VM: counts their slots, keeps the execution ledger and decides whether a
@@ -51,7 +60,10 @@
              NodeIdentity identity,
              std::span<const HomeUpstream> upstreams,
              UpstreamLimits upstreamLimits,
-             LedgerLimits ledgerLimits);
+             LedgerLimits ledgerLimits,
+             Metrics &metrics,
+             AuditTrail &audit,
+             std::mt19937_64 random);
 
     /// Takes slots, queue limits and rules of the upstreams on this VM from a document.
     void applyDocument(const Document &document);
@@ -63,7 +75,7 @@
     /// that says what is known. A request that was not seen will not run from then on.
     boost::asio::awaitable<PeerResponse> outcome(std::shared_ptr<PeerCall> call);
 
-    /// Drops ledger entries that have outlived their time. Call it on each tick.
+    /// Runs the systems over the tables: judgement, probes, drain signs, ledger expiry. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// Refuses new work from now on; work in progress goes on.
@@ -75,6 +87,9 @@
         return this->inProgress;
     }
 
+    /// @return the upstreams on this VM that are ejected or leaving, for gossip
+    std::vector<UpstreamMark> marks() const;
+
     /// @return the upstreams on this VM
     std::span<const HomeUpstreamRow> upstreams() const
     {
@@ -119,19 +134,32 @@
     boost::asio::awaitable<absl::StatusOr<PeerResponse>> execute(Job &job);
     boost::asio::awaitable<absl::StatusOr<PeerResponse>> dispatch(Job &job, HomeUpstreamRow &row);
     absl::Status checkUpstream(const ForwardMeta &meta, const HomeUpstreamRow *row) const;
+    absl::Status checkVerdict(const ForwardMeta &meta) const;
     absl::StatusOr<PeerResponse> interpret(HomeUpstreamRow &row, absl::StatusOr<PeerResponse> response);
+    void observeEnd(const ForwardMeta &meta, std::uint64_t token, const absl::StatusOr<PeerResponse> &result);
+    void takeDrainSign(HomeUpstreamRow &row, bool drainSign, std::string_view signal);
+    void reportVerdicts(std::span<const VerdictChange> changes);
+    void pollDrainSigns(TimePoint now);
+    boost::asio::awaitable<void> pollDrainSign(std::string name);
+    boost::asio::awaitable<void> probe(std::string name);
     void recordEnd(const WorkId &work, const Job &job, const absl::StatusOr<PeerResponse> &result);
     void announceEnd(const WorkId &work, const absl::StatusOr<PeerResponse> &result);
     HomeUpstreamRow *findRow(std::string_view name);
-    void appendLoad(std::string_view upstream, HeaderList &headers);
-    PeerResponse toPeerResponse(absl::StatusOr<PeerResponse> result, std::string_view upstream);
+    PeerResponse toPeerResponse(absl::StatusOr<PeerResponse> result, const ForwardMeta &meta);
 
     boost::asio::any_io_executor executor;
     NodeIdentity identity;
+    Metrics &metrics;
+    AuditTrail &audit;
     std::vector<HomeUpstreamRow> rows;
+    UpstreamTable table; ///< Health of the upstreams in `rows` that the document places on this VM.
+    ObserveSystem observeSystem;
+    JudgeSystem judgeSystem;
+    ProbeSystem probeSystem;
     ExecutionLedger ledger;
     absl::flat_hash_map<WorkId, std::shared_ptr<Ending>> endings;
     std::size_t inProgress = 0;
+    std::uint64_t nextToken = 0; ///< Names a request at an upstream for the health systems.
     bool draining = false;
     Log log;
 };
--- a/galenarack/home/slotadmission.h
+++ b/galenarack/home/slotadmission.h
@@ -51,6 +51,12 @@
     /// Changes the number of slots, for example with a new revision.
     void setSlots(std::uint32_t slots);
 
+    /// Changes how many requests may wait; those that wait already stay.
+    void setQueueLimit(std::size_t limit)
+    {
+        this->queue.setLimit(limit);
+    }
+
     /// @return slots in use
     std::uint32_t inFlight() const
     {
--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -62,12 +62,16 @@
                                    std::function<std::shared_ptr<const Document>()> document,
                                    HomeNode &home,
                                    PeerClient &peers,
+                                   UpstreamDirectory &directory,
+                                   Metrics &metrics,
                                    std::mt19937_64 random)
     : executor(std::move(executor))
     , identity(std::move(identity))
     , document(std::move(document))
     , home(home)
     , peers(peers)
+    , directory(directory)
+    , metrics(metrics)
     , random(random)
     , mint(this->random())
     , log("ingress")
@@ -89,6 +93,22 @@
     if (const absl::Status status = this->prepare(course); !status.ok()) {
         co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
     }
+    co_return co_await this->runWithinLimits(course);
+}
+
+asio::awaitable<PeerResponse> RequestForwarder::runWithinLimits(Course &course)
+{
+    const AccountRow *account = course.document->accounts.find(course.account);
+    if (account == nullptr) {
+        co_return co_await this->run(course);
+    }
+    if (const absl::Status status = this->limiter.admit(*account, course.received); !status.ok()) {
+        course.detail = messageOf(status);
+        co_return this->failure(course, errorKindOf(status));
+    }
+    const ScopeGuard finished([this, name = account->name] {
+        this->limiter.finish(name);
+    });
     co_return co_await this->run(course);
 }
 
@@ -152,6 +172,7 @@
     AttemptAction::Any action = machine.on(AttemptEvent::Started());
     for (;;) {
         if (std::holds_alternative<AttemptAction::Answer>(action)) {
+            this->count(course, std::nullopt);
             co_return this->toCallerResponse(course);
         }
         if (const auto *fail = std::get_if<AttemptAction::Fail>(&action)) {
@@ -175,14 +196,17 @@
 
 asio::awaitable<AttemptEvent::Any> RequestForwarder::attempt(Course &course, unsigned number)
 {
-    const auto upstream = this->chooseUpstream(course);
-    if (!upstream) {
-        course.detail = "no upstream of service " + course.document->services[course.route->service].name + " can be reached";
+    const auto choice = this->chooseUpstream(course);
+    if (!choice) {
+        course.detail = "no upstream of service " + this->serviceOf(course) + " can be reached";
         co_return AttemptEvent::NotSent{ErrorKind::NoUpstream};
     }
-    course.upstream = *upstream;
-    course.tried.insert(*upstream);
-    const std::string vm = course.document->upstreams[*upstream].vm;
+    if (number > 1) {
+        this->metrics.countRetry(this->serviceOf(course));
+    }
+    course.choice = *choice;
+    course.tried.insert(choice->upstream);
+    const std::string vm = choice->vm;
     // A new id for each attempt, since a home decides once about an id.
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
     const std::function<PeerRequest(const PeerView &)> makeRequest = [this, &course, number](const PeerView &view) {
@@ -226,7 +250,10 @@
     meta.receivedMs = course.receivedMs;
     meta.expiryMs = course.expiryMs;
     meta.account = course.account;
-    meta.upstream = course.document->upstreams[course.upstream].name;
+    meta.upstream = course.choice.upstream;
+    meta.insist = course.choice.insist;
+    meta.routeClass = this->routeClassOfCourse(course);
+    meta.serviceMedianUs = this->directory.medianLatency(this->serviceOf(course), meta.routeClass, NodeClock::now()).count();
     meta.revision = course.document->revision;
     meta.repeatable = course.repeatable;
     meta.key = course.key;
@@ -234,7 +261,7 @@
     return meta;
 }
 
-AttemptEvent::Any RequestForwarder::interpretAttempt(Course &course, absl::StatusOr<PeerResponse> response) const
+AttemptEvent::Any RequestForwarder::interpretAttempt(Course &course, absl::StatusOr<PeerResponse> response)
 {
     if (!response.ok()) {
         course.detail = messageOf(response.status());
@@ -252,6 +279,7 @@
             return AttemptEvent::NotSent{kind};
         }
     }
+    this->takeReport(course, *response);
     if (const auto name = response->headers.find(PeerHeader::error)) {
         course.detail = response->body;
         return AttemptEvent::Refused{errorKindFromName(*name).value_or(ErrorKind::Internal)};
@@ -262,7 +290,7 @@
 
 asio::awaitable<AttemptEvent::Any> RequestForwarder::queryOutcome(Course &course, bool throughThirdNode)
 {
-    const std::string vm = course.document->upstreams[course.upstream].vm;
+    const std::string vm = course.choice.vm;
     std::string receiver = vm;
     PeerRequest request;
     request.method = "GET";
@@ -334,24 +362,37 @@
     return PeerView{this->identity.incarnation, 0, false, toMilliseconds(now), now};
 }
 
-std::optional<std::uint32_t> RequestForwarder::chooseUpstream(const Course &course)
+std::optional<UpstreamDirectory::Choice> RequestForwarder::chooseUpstream(const Course &course)
 {
-    const Document &document = *course.document;
-    std::vector<std::uint32_t> candidates = document.upstreamsOfService(course.route->service);
-    std::erase_if(candidates, [&](std::uint32_t index) {
-        const bool elsewhere = course.key && document.upstreams[index].vm != course.key->vm;
-        return elsewhere || document.upstreams[index].rule == UpstreamRule::Retire || course.tried.contains(index);
-    });
-    if (candidates.empty()) {
-        return std::nullopt;
+    const std::string_view vm = course.key ? std::string_view(course.key->vm) : std::string_view();
+    return this->directory.select(this->serviceOf(course), course.repeatable, vm, course.tried, NodeClock::now());
+}
+
+const std::string &RequestForwarder::serviceOf(const Course &course) const
+{
+    return course.document->services[course.route->service].name;
+}
+
+std::uint32_t RequestForwarder::routeClassOfCourse(const Course &course) const
+{
+    return static_cast<std::uint32_t>(course.route - course.document->routes.all().data());
+}
+
+void RequestForwarder::takeReport(const Course &course, const PeerResponse &response)
+{
+    if (const auto report = reportFromHeaders(response.headers)) {
+        this->directory.report(course.choice.upstream, *report, NodeClock::now());
     }
-    std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
-    return candidates[pick(this->random)];
+}
+
+void RequestForwarder::count(const Course &course, std::optional<ErrorKind> outcome)
+{
+    this->metrics.countRequest(this->serviceOf(course), course.choice.upstream, outcome, NodeClock::now() - course.received);
 }
 
 std::optional<std::string> RequestForwarder::chooseThirdNode(const Course &course)
 {
-    const std::string &homeVm = course.document->upstreams[course.upstream].vm;
+    const std::string &homeVm = course.choice.vm;
     std::set<std::string> vms;
     for (const UpstreamRow &upstream : course.document->upstreams) {
         if (upstream.vm != homeVm && upstream.vm != this->identity.vm && this->peers.view(upstream.vm) != nullptr) {
@@ -382,11 +423,12 @@
 
 RetryBudget &RequestForwarder::budgetOf(const Course &course)
 {
-    return this->budgets[course.document->services[course.route->service].name];
+    return this->budgets[this->serviceOf(course)];
 }
 
-PeerResponse RequestForwarder::failure(const Course &course, ErrorKind kind) const
+PeerResponse RequestForwarder::failure(const Course &course, ErrorKind kind)
 {
+    this->count(course, kind);
     this->log.warn("request failed",
                    {{"request_id", course.id.toString()}, {"error_kind", errorRow(kind).name}, {"detail", course.detail}});
     return problemResponse(kind, course.detail, course.id.toString());
@@ -399,13 +441,16 @@
     course.received = NodeClock::now();
     course.document = this->document();
     course.id = RequestId{this->identity.incarnation, ++this->sequence};
-    const absl::Status status = this->findRoute(course);
+    absl::Status status = this->findRoute(course);
+    if (status.ok()) {
+        status = this->findAccount(course);
+    }
     if (!status.ok()) {
         co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
     }
-    while (const auto upstream = this->chooseUpstream(course)) {
-        course.tried.insert(*upstream);
-        const std::string vm = course.document->upstreams[*upstream].vm;
+    while (const auto choice = this->chooseUpstream(course)) {
+        course.tried.insert(choice->upstream);
+        const std::string vm = choice->vm;
         absl::StatusOr<PeerView> view = this->selfView();
         if (vm != this->identity.vm) {
             view = co_await this->peers.connect(vm, course.deadline);
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -5,7 +5,10 @@
 #include <galenarack/document/document.h>
 #include <galenarack/execution/attemptmachine.h>
 #include <galenarack/home/homenode.h>
+#include <galenarack/ingress/upstreamdirectory.h>
+#include <galenarack/operators/metrics.h>
 #include <galenarack/peer/peerclient.h>
+#include <galenarack/routing/accountlimiter.h>
 #include <galenarack/routing/retrybudget.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -40,6 +43,8 @@
                      std::function<std::shared_ptr<const Document>()> document,
                      HomeNode &home,
                      PeerClient &peers,
+                     UpstreamDirectory &directory,
+                     Metrics &metrics,
                      std::mt19937_64 random);
 
     /// @return the response for the caller; errors are problem+json (RFC 9457)
@@ -52,6 +57,12 @@
     /// Answers an outcome query of another ingress that cannot reach the home itself.
     boost::asio::awaitable<PeerResponse> relayOutcome(std::shared_ptr<PeerCall> call);
 
+    /// Forgets limits of accounts that are idle. Call it every few seconds.
+    void tick(TimePoint now)
+    {
+        this->limiter.tick(now);
+    }
+
     /// @return caller requests in progress
     std::size_t requestsInProgress() const
     {
@@ -72,9 +83,9 @@
         TimePoint received;
         TimePoint deadline;
         std::shared_ptr<Cancellation> cancellation;
-        std::set<std::uint32_t> tried; ///< Upstreams of earlier attempts.
+        std::set<std::string> tried; ///< Upstreams of earlier attempts.
         RequestId id; ///< Of the last attempt.
-        std::uint32_t upstream = 0; ///< Of the last attempt; index into the document.
+        UpstreamDirectory::Choice choice; ///< Of the last attempt.
         Incarnation addressedTo; ///< Home of the last attempt.
         std::int64_t expiryMs = 0; ///< Of the last attempt.
         std::int64_t receivedMs = 0; ///< In the clock of the home of the last attempt.
@@ -94,19 +105,27 @@
     boost::asio::awaitable<absl::StatusOr<PeerResponse>> sendToSelf(PeerRequest request, const Course &course);
     PeerRequest makeAttempt(Course &course, unsigned number, const PeerView &view);
     ForwardMeta makeMeta(const Course &course) const;
-    AttemptEvent::Any interpretAttempt(Course &course, absl::StatusOr<PeerResponse> response) const;
-    std::optional<std::uint32_t> chooseUpstream(const Course &course);
+    AttemptEvent::Any interpretAttempt(Course &course, absl::StatusOr<PeerResponse> response);
+    std::optional<UpstreamDirectory::Choice> chooseUpstream(const Course &course);
+    boost::asio::awaitable<PeerResponse> runWithinLimits(Course &course);
+    void takeReport(const Course &course, const PeerResponse &response);
+    const std::string &serviceOf(const Course &course) const;
+    std::uint32_t routeClassOfCourse(const Course &course) const;
+    void count(const Course &course, std::optional<ErrorKind> outcome);
     std::optional<std::string> chooseThirdNode(const Course &course);
     PeerView selfView() const;
     RetryBudget &budgetOf(const Course &course);
     PeerResponse toCallerResponse(Course &course) const;
-    PeerResponse failure(const Course &course, ErrorKind kind) const;
+    PeerResponse failure(const Course &course, ErrorKind kind);
 
     boost::asio::any_io_executor executor;
     NodeIdentity identity;
     std::function<std::shared_ptr<const Document>()> document;
     HomeNode &home;
     PeerClient &peers;
+    UpstreamDirectory &directory;
+    Metrics &metrics;
+    AccountLimiter limiter;
     std::mt19937_64 random;
     KeyMint mint;
     std::map<std::string, RetryBudget, std::less<>> budgets; ///< By service.
--- a/galenarack/node/node.cpp
+++ b/galenarack/node/node.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// Marks, membership and gauges change slowly or are needed less exactly than verdicts.
+constexpr Duration slowTickPeriod = std::chrono::milliseconds(500);
+
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 
 /// Time in which callers and peers learn that the node leaves, before it stops to accept connections.
@@ -64,8 +67,17 @@
           },
           [this](const NodeReport &report) {
               this->takeReport(report);
-          })
-    , home(context.get_executor(), this->identity, settings.homeUpstreams, UpstreamLimits(), LedgerLimits())
+          },
+          this->paths)
+    , home(context.get_executor(),
+           this->identity,
+           settings.homeUpstreams,
+           UpstreamLimits(),
+           LedgerLimits(),
+           this->metrics,
+           this->audit,
+           std::mt19937_64(this->random()))
+    , directory(this->identity, this->paths, this->metrics, this->audit, std::mt19937_64(this->random()))
     , forwarder(
           context.get_executor(),
           this->identity,
@@ -74,6 +86,8 @@
           },
           this->home,
           this->peers,
+          this->directory,
+          this->metrics,
           std::mt19937_64(this->random()))
     , ingress(context.get_executor(), IngressLimits(), this->forwarder)
     , peerServer(
@@ -180,8 +194,41 @@
     this->peers.tick(now);
     this->home.tick(now);
     this->takeMembers(now);
+    this->directory.tick(now);
     this->config.tick(now);
     this->tickDrain(now);
+    if (now - this->lastSlowTick >= slowTickPeriod) {
+        this->lastSlowTick = now;
+        this->tickSlow(now);
+    }
+}
+
+void Node::tickSlow(TimePoint now)
+{
+    this->directory.applyMembers(this->members, now);
+    this->gossip.setMarks(this->home.marks());
+    this->forwarder.tick(now);
+    const auto document = this->config.document();
+    this->metrics.setRevision(document ? document->revision : 0, this->config.highestHeard(now));
+    this->metrics.setReady(this->readiness().ready);
+    MemberCounts counts;
+    for (const auto &[name, member] : this->members.all()) {
+        switch (member.state) {
+        case MemberState::Live:
+            ++counts.live;
+            break;
+        case MemberState::Leaving:
+            ++counts.leaving;
+            break;
+        case MemberState::Gone:
+            ++counts.gone;
+            break;
+        case MemberState::Unknown:
+            ++counts.unknown;
+            break;
+        }
+    }
+    this->metrics.setMembers(counts);
 }
 
 void Node::tickDrain(TimePoint now)
@@ -227,11 +274,16 @@
 {
     this->gossip.heardOnConnection(report.vm, report.incarnation, report.revision, NodeClock::now());
     this->config.heardRevision(report.vm, report.revision);
+    for (const NamedUpstreamReport &named : report.upstreams) {
+        this->directory.report(named.upstream, named.report, NodeClock::now());
+    }
 }
 
 void Node::takeDocument(const std::shared_ptr<const Document> &document)
 {
     this->home.applyDocument(*document);
+    this->directory.applyDocument(*document, NodeClock::now());
+    this->directory.applyMembers(this->members, NodeClock::now());
     this->gossip.setRevision(document->revision);
     std::vector<std::string> services;
     std::vector<std::string> upstreams;
@@ -383,7 +435,7 @@
 
 std::vector<UpstreamStatus> Node::upstreamStatus() const
 {
-    return {};
+    return this->directory.status();
 }
 
 } // namespace Galenarack
--- a/galenarack/node/node.h
+++ b/galenarack/node/node.h
@@ -4,6 +4,7 @@
 #include <galenarack/home/homenode.h>
 #include <galenarack/ingress/ingressserver.h>
 #include <galenarack/ingress/requestforwarder.h>
+#include <galenarack/ingress/upstreamdirectory.h>
 #include <galenarack/membership/gossipsystem.h>
 #include <galenarack/membership/gossiptransport.h>
 #include <galenarack/membership/membertable.h>
@@ -48,6 +49,7 @@
     boost::asio::awaitable<void> tickLoop();
     void tick(TimePoint now);
     void tickDrain(TimePoint now);
+    void tickSlow(TimePoint now);
     boost::asio::awaitable<PeerResponse> answerPeer(std::shared_ptr<PeerCall> call);
     void takeReport(const NodeReport &report);
     void takeDocument(const std::shared_ptr<const Document> &document);
@@ -68,8 +70,10 @@
     NodeIdentity identity;
     AuditTrail audit;
     Metrics metrics;
+    PathTable paths;
     PeerClient peers;
     HomeNode home;
+    UpstreamDirectory directory;
     RequestForwarder forwarder;
     IngressServer ingress;
     PeerServer peerServer;
@@ -79,6 +83,7 @@
     std::unique_ptr<GossipTransport> gossipTransport;
     std::unique_ptr<OperatorServer> operatorServer;
     boost::asio::steady_timer timer;
+    TimePoint lastSlowTick; ///< Of the work that is not needed every 100 ms.
     DrainStep drainStep = DrainStep::Serving;
     TimePoint drainStarted;
     TimePoint startedAt;
--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -59,6 +59,9 @@
     asio::ip::tcp::endpoint address;
     std::shared_ptr<PeerSession> session;
     std::optional<PeerView> view;
+    std::uint32_t path = 0; ///< Row in the PathTable.
+    TimePoint pingReported; ///< PING that the PathTable knows of.
+    TimePoint heardReported; ///< Last byte that the PathTable knows of.
     bool connecting = false;
     bool heartbeatPending = false;
     asio::steady_timer connected; ///< Cancelled when a connect attempt ends.
@@ -70,12 +73,14 @@
                        NodeIdentity identity,
                        PeerLimits limits,
                        std::function<NodeReport()> ownReport,
-                       std::function<void(const NodeReport &)> reportReceived)
+                       std::function<void(const NodeReport &)> reportReceived,
+                       PathTable &paths)
     : executor(std::move(executor))
     , identity(std::move(identity))
     , limits(limits)
     , ownReport(std::move(ownReport))
     , reportReceived(std::move(reportReceived))
+    , paths(paths)
     , log("peer")
 {
 }
@@ -85,6 +90,7 @@
     auto &link = this->links[vm];
     if (!link) {
         link = std::make_shared<Link>(vm, this->executor);
+        link->path = this->paths.add(vm, NodeClock::now());
     }
     if (link->address == address) {
         return;
@@ -199,6 +205,7 @@
     const auto [error] = co_await socket.async_connect(link->address, awaitTuple);
     limit.cancel();
     if (error || !socket.is_open()) {
+        this->paths.connectFailed(link->path, NodeClock::now());
         co_return makeError(ErrorKind::PeerUnreachable, "connect to VM " + link->vm + " failed: " + error.message());
     }
     const auto session = std::make_shared<PeerSession>(std::move(socket), PeerSession::Role::Client, this->limits, PeerHandler());
@@ -215,6 +222,7 @@
     auto response = co_await session->request(std::move(request), NodeClock::now() + connectTimeout);
     if (!response.ok()) {
         session->close();
+        this->paths.helloUnanswered(link->path, NodeClock::now());
         co_return makeError(ErrorKind::PeerUnreachable, "hello to VM " + link->vm + " got no reply");
     }
     const auto report = NodeReport::decode(response->body);
@@ -227,6 +235,7 @@
     }
     this->takeReport(*link, *report);
     link->session = session;
+    this->paths.connected(link->path, NodeClock::now());
     co_return absl::OkStatus();
 }
 
@@ -249,11 +258,50 @@
     for (const auto &[vm, link] : this->links) {
         if (link->session) {
             link->session->checkLiveness(now, afterPause);
+            this->observePath(*link, now);
         }
     }
+    this->reconnectOne(now);
     this->sendDueHeartbeats(now);
 }
 
+void PeerClient::observePath(Link &link, TimePoint now)
+{
+    const PeerSession &session = *link.session;
+    if (session.lastReceived() > link.heardReported) {
+        link.heardReported = session.lastReceived();
+        this->paths.heard(link.path, now);
+    }
+    const auto ping = session.unansweredPing();
+    if (ping && *ping > link.pingReported) {
+        link.pingReported = *ping;
+        this->paths.pingSent(link.path, *ping);
+    }
+}
+
+void PeerClient::reconnectOne(TimePoint now)
+{
+    auto entry = this->links.upper_bound(this->reconnectCursor);
+    for (std::size_t step = 0; step < this->links.size(); ++step) {
+        if (entry == this->links.end()) {
+            entry = this->links.begin();
+        }
+        const auto link = entry->second;
+        const bool isConnected = link->session && link->session->isUsable();
+        if (!isConnected && !link->connecting && !this->paths.isReachable(link->path)) {
+            this->reconnectCursor = link->vm;
+            asio::co_spawn(
+                this->executor,
+                [this, link, now]() -> asio::awaitable<void> {
+                    co_await this->ensureConnected(link, now + connectTimeout);
+                },
+                asio::detached);
+            return;
+        }
+        ++entry;
+    }
+}
+
 void PeerClient::sendDueHeartbeats(TimePoint now)
 {
     if (now - this->lastHeartbeat < heartbeatPace || this->links.empty()) {
--- a/galenarack/peer/peerclient.h
+++ b/galenarack/peer/peerclient.h
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/log.h>
 #include <galenarack/core/nodeidentity.h>
+#include <galenarack/health/pathtable.h>
 #include <galenarack/peer/peercontrol.h>
 #include <galenarack/peer/peersession.h>
 
@@ -45,11 +46,13 @@
 public:
     /// @param ownReport makes the report sent in hello and heartbeats
     /// @param reportReceived is told of each report of a peer, with its VM name
+    /// @param paths takes what connections show about the paths; must outlive the client
     PeerClient(boost::asio::any_io_executor executor,
                NodeIdentity identity,
                PeerLimits limits,
                std::function<NodeReport()> ownReport,
-               std::function<void(const NodeReport &)> reportReceived);
+               std::function<void(const NodeReport &)> reportReceived,
+               PathTable &paths);
 
     /// Tells where the node of a VM listens. A changed address closes the old connection.
     void setAddress(const std::string &vm, const boost::asio::ip::tcp::endpoint &address);
@@ -73,7 +76,7 @@
     /// Takes a clock value that came with a response.
     void updateClock(const std::string &vm, std::int64_t clockMs, TimePoint now);
 
-    /// Checks all connections for silence and sends due heartbeats. Call it every 250 ms.
+    /// Checks all connections for silence, sends due heartbeats and tries one path that cannot be used. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// @return open connections
@@ -88,6 +91,8 @@
     boost::asio::awaitable<void> sendHeartbeat(std::shared_ptr<Link> link);
     void takeReport(Link &link, const NodeReport &report);
     void sendDueHeartbeats(TimePoint now);
+    void observePath(Link &link, TimePoint now);
+    void reconnectOne(TimePoint now);
 
     boost::asio::any_io_executor executor;
     NodeIdentity identity;
@@ -95,6 +100,8 @@
     std::function<NodeReport()> ownReport;
     std::function<void(const NodeReport &)> reportReceived;
     std::map<std::string, std::shared_ptr<Link>, std::less<>> links;
+    PathTable &paths;
+    std::string reconnectCursor; ///< VM that was reconnected last; the next one in order is due.
     std::string heartbeatCursor; ///< VM that got the last heartbeat; the next one in order is due.
     TimePoint lastTick;
     TimePoint lastHeartbeat;
--- a/galenarack/peer/peersession.h
+++ b/galenarack/peer/peersession.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,12 @@
         return this->streams.size();
     }
 
+    /// @return when the PING was sent that has no reply yet, if any
+    std::optional<TimePoint> unansweredPing() const
+    {
+        return this->pingOutstanding ? std::optional(this->pingSent) : std::nullopt;
+    }
+
     /// @return time of the last byte from the peer
     TimePoint lastReceived() const
     {
