Hold the excuse of a common slowdown for 5 s at the ingress

The homes whose median had followed were no longer suspect, so the one whose median lagged was ejected by itself. Change: an ingress that saw most upstreams suspected of latency excuses ejections for latency for 5 s, the time in which a home revokes them.

--- a/galenarack/health/floorsystem.cpp
+++ b/galenarack/health/floorsystem.cpp
@@ -20,6 +20,9 @@
 /// Services without a change are decided again after this time, for what depends on time alone. Deciding all of 7,400 upstreams in
 /// each tick took 0.26% of a core.
 constexpr Duration decisionInterval = seconds(1);
+/// A common slowdown excuses ejections for latency for so long: homes whose median has followed are no longer suspect, while one
+/// whose median lags has just ejected its upstream. Homes revoke such an ejection in the same time.
+constexpr Duration commonSlowdownHold = seconds(5);
 /// Severity of an upstream that the document sets aside: above every judgement.
 constexpr float asideSeverity = 1e6F;
 /// Without news for so long, an ejection turns into a trial; a request to an upstream still ejected is refused as not run.
@@ -150,7 +153,10 @@
 
 void FloorSystem::decide(ServiceReports &service, TimePoint now)
 {
-    const bool commonSlowdown = this->isCommonSlowdown(service);
+    if (this->isCommonSlowdown(service)) {
+        service.commonSlowdownAt = now;
+    }
+    const bool commonSlowdown = service.commonSlowdownAt && now - *service.commonSlowdownAt <= commonSlowdownHold;
     this->entries.clear();
     this->entryRows.clear();
     for (const std::uint32_t index : service.rows) {
--- a/galenarack/health/probesystem.cpp
+++ b/galenarack/health/probesystem.cpp
@@ -1,7 +1,6 @@
 #include <galenarack/health/probesystem.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace Galenarack {
 
@@ -25,7 +24,7 @@
 
 ProbeSystem::ProbeSystem(UpstreamTable &table, std::mt19937_64 random)
     : table(table)
-    , random(std::move(random))
+    , random(random)
 {
 }
 
--- a/galenarack/health/reporttable.h
+++ b/galenarack/health/reporttable.h
@@ -82,6 +82,7 @@
     StateCounts counts;
     bool changed = true; ///< Something that the floor depends on changed since the last decision.
     TimePoint decidedAt;
+    std::optional<TimePoint> commonSlowdownAt; ///< When most upstreams were last suspected of latency at once.
     bool atFloor = false; ///< The floor keeps at least one ejected upstream.
 };
 
--- a/galenarack/routing/upstreamselector.cpp
+++ b/galenarack/routing/upstreamselector.cpp
@@ -1,7 +1,6 @@
 #include <galenarack/routing/upstreamselector.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace Galenarack {
 
@@ -19,7 +18,7 @@
 UpstreamSelector::UpstreamSelector(const ReportTable &table, std::uint32_t failureDomain, std::mt19937_64 random)
     : table(table)
     , failureDomain(failureDomain)
-    , random(std::move(random))
+    , random(random)
 {
 }
 
--- a/unittests/floorsystemtest.cpp
+++ b/unittests/floorsystemtest.cpp
@@ -217,7 +217,7 @@
         }
     }
 
-    /// Guards against ejecting half of a service because all of it became slow.
+    /// Guards against ejecting half of a service because all of it became slow, also when the medians of some homes follow later.
     void commonSlowdownEjectsNone()
     {
         for (std::uint32_t slow = 0; slow <= 10; ++slow) {
@@ -230,6 +230,13 @@
             FloorSystem floor(table, paths);
             floor.tick(TimePoint());
             CPPUNIT_ASSERT_EQUAL(slow > 5 ? 0U : slow, table.services[0].counts.ejected);
+            for (std::uint32_t i = 1; i < slow; ++i) {
+                table.report(i, reportOf(HomeVerdict::Serving, 0.0F, HealthCause::None), TimePoint());
+            }
+            floor.tick(TimePoint() + std::chrono::seconds(4));
+            CPPUNIT_ASSERT_EQUAL(slow > 5 || slow == 0 ? 0U : 1U, table.services[0].counts.ejected);
+            floor.tick(TimePoint() + std::chrono::seconds(7));
+            CPPUNIT_ASSERT_EQUAL(slow == 0 ? 0U : 1U, table.services[0].counts.ejected);
         }
     }
 
