Test new revisions on 3 and 6 nodes with a failing configuration service

Change: revisiontest publishes a revision that one node reads while the service is up, frozen, down or stale for all others, checks that it is in force on all nodes 5 s after its publication, then publishes the older manifest again, replaces a node and checks that none goes back. Ruled out: a bound for each node in turn, which would add up.

--- /dev/null
+++ b/processtests/revisiontest.cpp
@@ -0,0 +1,70 @@
+#include "support/fleetfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+/// A new revision with the configuration service in several states (P7).
+class RevisionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RevisionTest);
+    CPPUNIT_TEST(revisionIsInForceEverywhereAndStays);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a node that misses a revision because the service fails it, and against one that goes back.
+    void revisionIsInForceEverywhereAndStays()
+    {
+        struct Row
+        {
+            unsigned nodes;
+            const char *mode; ///< Of the service for all nodes but node 0, which reads the new revision.
+        };
+        const Row rows[] = {{3, "normal"}, {3, "frozen"}, {3, "down"}, {3, "stale"}, {6, "normal"}, {6, "frozen"}, {6, "stale"}};
+        for (const Row &row : rows) {
+            FleetOptions options;
+            options.nodes = row.nodes;
+            options.failureDomains = 3;
+            FleetFixture fleet(options);
+            const std::string context = std::to_string(row.nodes) + " nodes, " + row.mode;
+            for (unsigned node = 1; node < row.nodes; ++node) {
+                fleet.setServiceMode(node, row.mode);
+            }
+            fleet.setSection("accounts", "accounts:\n  - {name: charity}\n  - {name: second}\n");
+            const auto published = std::chrono::steady_clock::now();
+            const std::uint64_t revision = fleet.publish();
+            for (unsigned node = 0; node < row.nodes; ++node) {
+                const auto left = published + inForceBound - std::chrono::steady_clock::now();
+                const bool inForce = waitFor(std::chrono::duration_cast<std::chrono::milliseconds>(left), [&] {
+                    return fleet.revision(node) == revision;
+                });
+                CPPUNIT_ASSERT_MESSAGE(context + ", node " + std::to_string(node) + ": " + fleet.status(node).dump(), inForce);
+            }
+            fleet.publishAgain(revision - 1);
+            for (unsigned node = 0; node < row.nodes; ++node) {
+                fleet.setServiceMode(node, "normal");
+            }
+            fleet.node(row.nodes - 1).kill();
+            fleet.startNode(row.nodes - 1);
+            CPPUNIT_ASSERT_MESSAGE(context, fleet.waitReady(row.nodes - 1, 10s));
+            const bool wentBack = waitFor(2s, [&] {
+                for (unsigned node = 0; node < row.nodes; ++node) {
+                    if (fleet.revision(node) != revision) {
+                        return true;
+                    }
+                }
+                return false;
+            });
+            CPPUNIT_ASSERT_MESSAGE(context + ": a node follows the older revision of the service", !wentBack);
+        }
+    }
+
+private:
+    /// P7 at today's sizes.
+    static constexpr std::chrono::milliseconds inForceBound{5000};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RevisionTest);
