--- a/galenarack/config/keywatch.h
+++ b/galenarack/config/keywatch.h
@@ -28,12 +28,12 @@
     /// @return whether all is done; otherwise the handler is called again with the same value after a pause
     using Handler = std::function<boost::asio::awaitable<bool>(std::string value)>;
 
-    /// Told about each call: whether the service replied.
+    /// Told about each watch, once the handler is done with a new value: whether the service replied.
     using ReplyCallback = std::function<void(bool replied)>;
 
     /// @param key key of the service, e.g. "manifest"
     /// @param seed seed of the random source for jitter; different on each node
-    KeyWatch(boost::asio::any_io_executor executor, const ServiceSettings &settings, std::string key, std::uint64_t seed);
+    KeyWatch(const boost::asio::any_io_executor &executor, const ServiceSettings &settings, std::string key, std::uint64_t seed);
 
     /// Watches until stop() is called.
     boost::asio::awaitable<void> run(Handler handler, ReplyCallback replied);
