Take gossip marks as changes, date receipts before a pause, refuse keyed requests with care

Cause: the demonstration showed a floor hit long after the fault: the marks of a VM were applied every 500 ms, so an old mark replaced newer reports, and a mark that was gone never ended the ejection. The property model showed two faults of the ingress: a receipt time taken after a pause, and local refusals that say not run of a key whose earlier request may have run. Change: marks count when they change; a node feeds its own reports to its own ingress; the receipt is dated by the tick before last; a refusal before sending keeps "may have run" when the request carries an issued key; a deadline before a send is reported as not sent. Ruled out: an expiry of marks, which would end ejections that still hold.

--- a/galenarack/core/errorkind.cpp
+++ b/galenarack/core/errorkind.cpp
@@ -160,6 +160,11 @@
 }
 
 std::string problemBody(ErrorKind kind, std::string_view detail, std::string_view requestId)
+{
+    return problemBody(kind, detail, requestId, errorRow(kind).execution);
+}
+
+std::string problemBody(ErrorKind kind, std::string_view detail, std::string_view requestId, Execution execution)
 {
     const ErrorRow &row = errorRow(kind);
     nlohmann::ordered_json body;
@@ -167,7 +172,7 @@
     body["title"] = row.title;
     body["status"] = row.httpStatus;
     body["detail"] = detail;
-    body["execution"] = executionName(row.execution);
+    body["execution"] = executionName(execution);
     body["request_id"] = requestId;
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
--- a/galenarack/core/errorkind.h
+++ b/galenarack/core/errorkind.h
@@ -96,4 +96,8 @@
 /// "type", "title", "status", "detail", "execution" and "request_id".
 std::string problemBody(ErrorKind kind, std::string_view detail, std::string_view requestId);
 
+/// As above, with another statement about execution than that of the kind: a request that was not sent on says nothing
+/// about an earlier one with the same idempotency key.
+std::string problemBody(ErrorKind kind, std::string_view detail, std::string_view requestId, Execution execution);
+
 } // namespace Galenarack
--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -43,17 +43,22 @@
 } // namespace
 
 PeerResponse problemResponse(ErrorKind kind, std::string_view detail, std::string_view requestId)
+{
+    return problemResponse(kind, detail, requestId, errorRow(kind).execution);
+}
+
+PeerResponse problemResponse(ErrorKind kind, std::string_view detail, std::string_view requestId, Execution execution)
 {
     const ErrorRow &row = errorRow(kind);
     PeerResponse response;
     response.status = row.httpStatus;
     response.headers.add("content-type", "application/problem+json");
     response.headers.add(PeerHeader::error, row.name);
-    response.headers.add(executionField, executionName(row.execution));
+    response.headers.add(executionField, executionName(execution));
     if (mayRetryAfter(row.httpStatus)) {
         response.headers.add("retry-after", "1");
     }
-    response.body = problemBody(kind, detail.empty() ? row.title : detail, requestId);
+    response.body = problemBody(kind, detail.empty() ? row.title : detail, requestId, execution);
     return response;
 }
 
@@ -84,27 +89,53 @@
     const ScopeGuard finished([this] {
         --this->inProgress;
     });
-    Course course;
-    course.request = std::move(request);
+    Course course = this->makeCourse(std::move(request));
     course.cancellation = std::move(cancellation);
-    course.received = NodeClock::now();
-    course.document = this->document();
-    course.id = RequestId{this->identity.incarnation, ++this->sequence};
     if (const absl::Status status = this->prepare(course); !status.ok()) {
-        co_return problemResponse(errorKindOf(status), messageOf(status), course.id.toString());
+        co_return this->refuseLocally(course, status);
     }
     co_return co_await this->runWithinLimits(course);
 }
 
+RequestForwarder::Course RequestForwarder::makeCourse(CallerRequest request)
+{
+    Course course;
+    course.request = std::move(request);
+    course.started = NodeClock::now();
+    // After a pause the bytes may have waited in the socket since before it. They are read in the turn of the event loop
+    // that also runs the first tick, so the tick before that one came earlier than the bytes.
+    course.received = std::min(course.started, this->tickBeforeLast);
+    course.document = this->document();
+    course.id = RequestId{this->identity.incarnation, ++this->sequence};
+    return course;
+}
+
+PeerResponse RequestForwarder::refuseLocally(const Course &course, const absl::Status &status)
+{
+    const ErrorKind kind = errorKindOf(status);
+    this->log.warn("request refused", {{"request_id", course.id.toString()}, {"error_kind", errorRow(kind).name}});
+    // This request was not sent on, but an earlier one with the same key may have run.
+    const auto key = course.request.headers.find(keyField);
+    const bool mayHaveRun = key && IdempotencyKey::parse(*key);
+    const Execution execution = mayHaveRun ? Execution::MayHaveRun : errorRow(kind).execution;
+    return problemResponse(kind, messageOf(status), course.id.toString(), execution);
+}
+
+void RequestForwarder::tick(TimePoint now)
+{
+    this->tickBeforeLast = std::exchange(this->lastTick, now);
+    this->limiter.tick(now);
+}
+
 asio::awaitable<PeerResponse> RequestForwarder::runWithinLimits(Course &course)
 {
     const AccountRow *account = course.document->accounts.find(course.account);
     if (account == nullptr) {
         co_return co_await this->run(course);
     }
-    if (const absl::Status status = this->limiter.admit(*account, course.received); !status.ok()) {
-        course.detail = messageOf(status);
-        co_return this->failure(course, errorKindOf(status));
+    if (const absl::Status status = this->limiter.admit(*account, course.started); !status.ok()) {
+        this->count(course, errorKindOf(status));
+        co_return this->refuseLocally(course, status);
     }
     const ScopeGuard finished([this, name = account->name] {
         this->limiter.finish(name);
@@ -125,7 +156,7 @@
     if (!course.route->allows(course.request.method)) {
         return makeError(ErrorKind::MethodNotAllowed, "route " + course.route->prefix + " does not allow " + course.request.method);
     }
-    course.deadline = course.received + course.route->deadline;
+    course.deadline = course.started + course.route->deadline;
     return absl::OkStatus();
 }
 
@@ -150,7 +181,7 @@
     if (const auto timeout = course.request.headers.findNumber(timeoutField)) {
         allowed = std::min<Duration>(allowed, std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1)));
     }
-    course.deadline = course.received + allowed;
+    course.deadline = course.started + allowed;
     course.repeatable = course.route->isRepeatable(course.request.method);
     if (course.repeatable) {
         return absl::OkStatus();
@@ -181,7 +212,7 @@
         if (course.cancellation->isRequested()) {
             action = machine.on(AttemptEvent::Cancelled());
         } else if (NodeClock::now() >= course.deadline) {
-            action = machine.on(AttemptEvent::DeadlineReached());
+            action = machine.on(AttemptEvent::DeadlineReached{false});
         } else if (const auto *send = std::get_if<AttemptAction::Send>(&action)) {
             action = machine.on(co_await this->attempt(course, send->attempt));
         } else if (const auto *query = std::get_if<AttemptAction::QueryOutcome>(&action)) {
@@ -387,7 +418,7 @@
 
 void RequestForwarder::count(const Course &course, std::optional<ErrorKind> outcome)
 {
-    this->metrics.countRequest(this->serviceOf(course), course.choice.upstream, outcome, NodeClock::now() - course.received);
+    this->metrics.countRequest(this->serviceOf(course), course.choice.upstream, outcome, NodeClock::now() - course.started);
 }
 
 std::optional<std::string> RequestForwarder::chooseThirdNode(const Course &course)
@@ -436,11 +467,7 @@
 
 asio::awaitable<PeerResponse> RequestForwarder::issueKey(CallerRequest wanted)
 {
-    Course course;
-    course.request = std::move(wanted);
-    course.received = NodeClock::now();
-    course.document = this->document();
-    course.id = RequestId{this->identity.incarnation, ++this->sequence};
+    Course course = this->makeCourse(std::move(wanted));
     absl::Status status = this->findRoute(course);
     if (status.ok()) {
         status = this->findAccount(course);
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -57,11 +57,8 @@
     /// Answers an outcome query of another ingress that cannot reach the home itself.
     boost::asio::awaitable<PeerResponse> relayOutcome(std::shared_ptr<PeerCall> call);
 
-    /// Forgets limits of accounts that are idle. Call it every few seconds.
-    void tick(TimePoint now)
-    {
-        this->limiter.tick(now);
-    }
+    /// Call it every 100 ms.
+    void tick(TimePoint now);
 
     /// @return caller requests in progress
     std::size_t requestsInProgress() const
@@ -80,7 +77,8 @@
         bool repeatable = false;
         std::optional<IdempotencyKey> key;
         RequestFingerprint fingerprint;
-        TimePoint received;
+        TimePoint started; ///< When the request was taken up.
+        TimePoint received; ///< Surely not after the receipt, also when this process was paused meanwhile.
         TimePoint deadline;
         std::shared_ptr<Cancellation> cancellation;
         std::set<std::string> tried; ///< Upstreams of earlier attempts.
@@ -116,7 +114,9 @@
     PeerView selfView() const;
     RetryBudget &budgetOf(const Course &course);
     PeerResponse toCallerResponse(Course &course) const;
+    Course makeCourse(CallerRequest request);
     PeerResponse failure(const Course &course, ErrorKind kind);
+    PeerResponse refuseLocally(const Course &course, const absl::Status &status);
 
     boost::asio::any_io_executor executor;
     NodeIdentity identity;
@@ -130,6 +130,8 @@
     KeyMint mint;
     std::map<std::string, RetryBudget, std::less<>> budgets; ///< By service.
     std::uint64_t sequence = 0;
+    TimePoint lastTick;
+    TimePoint tickBeforeLast;
     std::size_t inProgress = 0;
     Log log;
 };
@@ -137,4 +139,7 @@
 /// Makes the response for an error: problem+json with the fields `galenarack-error` and `galenarack-execution`.
 PeerResponse problemResponse(ErrorKind kind, std::string_view detail, std::string_view requestId);
 
+/// As above, with another statement about execution than that of the kind.
+PeerResponse problemResponse(ErrorKind kind, std::string_view detail, std::string_view requestId, Execution execution);
+
 } // namespace Galenarack
--- a/galenarack/ingress/upstreamdirectory.cpp
+++ b/galenarack/ingress/upstreamdirectory.cpp
@@ -47,14 +47,34 @@
     for (const auto &[name, member] : members.all()) {
         const bool isLeaving = member.state == MemberState::Leaving || member.listLeaving;
         this->reports.setMembership(name, isLeaving, member.state == MemberState::Gone);
-        for (const UpstreamMark &mark : member.marks) {
-            const auto row = this->reports.find(mark.upstream);
-            if (row && this->reports.rows[*row].vm == name) {
-                const bool leaves = mark.kind == UpstreamMarkKind::Leaving;
-                this->reports.gossip(*row, leaves ? HomeVerdict::Leaving : HomeVerdict::Ejected, HealthCause::None, 1.0F, now);
-            }
+        this->applyMarks(name, member.marks, now);
+    }
+}
+
+void UpstreamDirectory::applyMarks(const std::string &vm, std::span<const UpstreamMark> marks, TimePoint now)
+{
+    // Only changes count: a mark that is repeated may be older than a report that came with a response.
+    std::vector<UpstreamMark> &known = this->marksOfVm[vm];
+    if (std::ranges::equal(known, marks)) {
+        return;
+    }
+    const auto take = [this, &vm, now](const UpstreamMark &mark, HomeVerdict verdict, float severity) {
+        const auto row = this->reports.find(mark.upstream);
+        if (row && this->reports.rows[*row].vm == vm) {
+            this->reports.gossip(*row, verdict, HealthCause::None, severity, now);
+        }
+    };
+    for (const UpstreamMark &mark : known) {
+        if (std::ranges::find(marks, mark) == marks.end()) {
+            take(mark, HomeVerdict::Cold, 0.0F);
+        }
+    }
+    for (const UpstreamMark &mark : marks) {
+        if (std::ranges::find(known, mark) == known.end()) {
+            take(mark, mark.kind == UpstreamMarkKind::Leaving ? HomeVerdict::Leaving : HomeVerdict::Ejected, 1.0F);
         }
     }
+    known.assign(marks.begin(), marks.end());
 }
 
 void UpstreamDirectory::tick(TimePoint now)
--- a/galenarack/ingress/upstreamdirectory.h
+++ b/galenarack/ingress/upstreamdirectory.h
@@ -14,6 +14,7 @@
 #include <galenarack/routing/upstreamselector.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -68,6 +69,7 @@
     std::optional<std::uint32_t> findService(std::string_view name) const;
     std::optional<Choice> selectOnVm(std::uint32_t service, std::string_view vm, const std::set<std::string> &tried, TimePoint now);
     Choice take(std::uint32_t row, bool insist);
+    void applyMarks(const std::string &vm, std::span<const UpstreamMark> marks, TimePoint now);
     void reportChange(const StateChange &change);
 
     NodeIdentity identity;
@@ -78,6 +80,7 @@
     PathSystem pathSystem;
     FloorSystem floorSystem;
     UpstreamSelector selector;
+    std::map<std::string, std::vector<UpstreamMark>> marksOfVm; ///< Marks that were applied last.
     std::vector<std::uint32_t> excluded; ///< Scratch space of select().
 };
 
--- a/galenarack/node/node.cpp
+++ b/galenarack/node/node.cpp
@@ -195,6 +195,7 @@
     this->home.tick(now);
     this->takeMembers(now);
     this->directory.tick(now);
+    this->forwarder.tick(now);
     this->config.tick(now);
     this->tickDrain(now);
     if (now - this->lastSlowTick >= slowTickPeriod) {
@@ -206,8 +207,10 @@
 void Node::tickSlow(TimePoint now)
 {
     this->directory.applyMembers(this->members, now);
+    for (const NamedUpstreamReport &named : this->home.reports(now)) {
+        this->directory.report(named.upstream, named.report, now);
+    }
     this->gossip.setMarks(this->home.marks());
-    this->forwarder.tick(now);
     const auto document = this->config.document();
     this->metrics.setRevision(document ? document->revision : 0, this->config.highestHeard(now));
     this->metrics.setReady(this->readiness().ready);
