Fix what the linter found in membership and the operators' tool

Cause: clang-tidy refused a rewritten comparison of incarnations, a string concatenation and a bitwise and of booleans. Change: these three places.

--- a/galenarack/membership/membertable.cpp
+++ b/galenarack/membership/membertable.cpp
@@ -97,7 +97,7 @@
     const bool isHeardOf = row->incarnation.value != 0;
     const bool isSameRun = row->incarnation == update.incarnation;
     const bool isFirstHandRun = firstHand && !isSameRun;
-    const bool isPreferredRun = !row->lastHeard && update.incarnation > row->incarnation;
+    const bool isPreferredRun = !row->lastHeard && update.incarnation.value > row->incarnation.value;
     if (!isHeardOf || update.counter > row->counter
         || (update.counter == row->counter && !isSameRun && (isFirstHandRun || isPreferredRun))) {
         this->replace(*row, update, now);
--- a/galenarackctl/auditcommand.cpp
+++ b/galenarackctl/auditcommand.cpp
@@ -31,7 +31,7 @@
         const bool isColumn = key == "number" || key == "time_ms" || key == "kind";
         const std::string cell = isColumn ? std::string() : cellText(value);
         if (!cell.empty()) {
-            text += (text.empty() ? "" : ", ") + key + " " + cell;
+            text.append(text.empty() ? "" : ", ").append(key).append(" ").append(cell);
         }
     }
     return text;
--- a/performancetest/gossip.cpp
+++ b/performancetest/gossip.cpp
@@ -100,10 +100,12 @@
                 gone,
                 percent);
     std::fflush(stdout);
-    return check("bytes/s at steady state", steady, maxSteadyBytesPerSecond)
-           & check("bytes/s after a failure", failure, maxFailureBytesPerSecond)
-           & check("seconds to spread an update", spread, maxSpreadSeconds) & check("seconds until gone", gone, maxGoneSeconds)
-           & check("percent of a core", percent, maxProcessorPercent);
+    bool isWithinBounds = check("bytes/s at steady state", steady, maxSteadyBytesPerSecond);
+    isWithinBounds &= check("bytes/s after a failure", failure, maxFailureBytesPerSecond);
+    isWithinBounds &= check("seconds to spread an update", spread, maxSpreadSeconds);
+    isWithinBounds &= check("seconds until gone", gone, maxGoneSeconds);
+    isWithinBounds &= check("percent of a core", percent, maxProcessorPercent);
+    return isWithinBounds;
 }
 
 } // namespace
