Let a single stalled request eject no earlier than 1.4 s for claims

All were single outliers taken for a stuck slot. Change: a minimum age of 1.4 s for a single request (2 s for authority, as before by the factor), and a factor of 2.0 in place of 1.9.

--- a/galenarack/health/judgeprofile.cpp
+++ b/galenarack/health/judgeprofile.cpp
@@ -17,7 +17,8 @@
     .stallFactor = 20.0F,
     .stallMinimum = milliseconds(500),
     .stallUnknown = milliseconds(1500),
-    .singleStallGrowth = 1.9F,
+    .singleStallMinimum = milliseconds(1400),
+    .singleStallGrowth = 2.0F,
     .latencyConfirmation = milliseconds(1000),
 };
 constexpr JudgeProfile authority = {
@@ -29,6 +30,7 @@
     .stallFactor = 40.0F,
     .stallMinimum = milliseconds(1000),
     .stallUnknown = milliseconds(3000),
+    .singleStallMinimum = milliseconds(2000),
     .singleStallGrowth = 2.0F,
     .latencyConfirmation = milliseconds(2500),
 };
--- a/galenarack/health/judgeprofile.h
+++ b/galenarack/health/judgeprofile.h
@@ -17,6 +17,7 @@
     float stallFactor; ///< A request this many times older than a typical response is stalled.
     Duration stallMinimum; ///< No request younger than this is stalled.
     Duration stallUnknown; ///< Age of a stalled request on a class without a baseline.
+    Duration singleStallMinimum; ///< No single request younger than this ejects.
     float singleStallGrowth; ///< A single stalled request ejects at this multiple of the age at which two do.
     Duration latencyConfirmation; ///< Time that latency evidence must last, so that the peers' median can follow a common slowdown.
 };
--- a/galenarack/health/judgesystem.cpp
+++ b/galenarack/health/judgesystem.cpp
@@ -46,7 +46,8 @@
 {
     const float stalled = std::max(static_cast<float>(profile.stallMinimum.count()), profile.stallFactor * typical);
     const float pairAge = std::max(stalled, pairTailFactor * tail);
-    const float singleAge = std::max(profile.singleStallGrowth * stalled, singleTailFactor * tail);
+    const float singleAge
+        = std::max({static_cast<float>(profile.singleStallMinimum.count()), profile.singleStallGrowth * stalled, singleTailFactor * tail});
     if (age < pairAge) {
         return 0.0F;
     }
