Test silent paths and two faults at once

Cause: partitions between nodes had no test with real processes. Change: partitiontest puts a relay on the path of each ordered pair of nodes and makes it silent in one direction or both under load, and combines two faults in five rows; pathverdicttest checks that no upstream is ejected for a silent path. Ruled out: one relay before each node, which cuts all paths to it at once.

--- /dev/null
+++ b/processtests/partitiontest.cpp
@@ -0,0 +1,159 @@
+#include "support/fleetfixture.h"
+#include "support/promises.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <functional>
+#include <thread>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+/// Silent paths between nodes, and two faults at once.
+class PartitionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PartitionTest);
+    CPPUNIT_TEST(silentPathStopsOnlyItsOwnWork);
+    CPPUNIT_TEST(twoFaultsAtOnceKeepPromises);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a silent path that breaks a promise or stops work that other paths can carry.
+    void silentPathStopsOnlyItsOwnWork()
+    {
+        struct Row
+        {
+            const char *fault; ///< Of the path from node 0 to node 1.
+            const char *reverseFault; ///< Of the path from node 1 to node 0.
+        };
+        const Row rows[] = {
+            {R"({"forward_silent": true})", "{}"},
+            {R"({"backward_silent": true})", "{}"},
+            {R"({"forward_silent": true, "backward_silent": true, "existing_only": true})", "{}"},
+            {R"({"forward_silent": true, "backward_silent": true})", R"({"forward_silent": true, "backward_silent": true})"},
+        };
+        FleetOptions options;
+        options.relayPeers = true;
+        FleetFixture fleet(options);
+        fleet.setUpstream("all", R"({"base_delay_ms": 200})");
+        for (const Row &row : rows) {
+            fleet.upstreams().control("POST", "/reset");
+            BackgroundLoad lookups(loadFlags(fleet.callerAddress(0), "/lookups", 20, "GET", "1"), "/dev/null");
+            BackgroundLoad lodging(loadFlags(fleet.callerAddress(0), "/single-1", 10, "POST", "2"), "/dev/null");
+            BackgroundLoad aside(loadFlags(fleet.callerAddress(2), "/single-1", 10, "GET", "3"), "/dev/null");
+            std::this_thread::sleep_for(1s);
+            fleet.setPath(0, 1, row.fault);
+            fleet.setPath(1, 0, row.reverseFault);
+            std::this_thread::sleep_for(4s);
+            fleet.setPath(0, 1, "{}");
+            fleet.setPath(1, 0, "{}");
+            const nlohmann::json lookupReport = lookups.report(30s);
+            const nlohmann::json lodgingReport = lodging.report(30s);
+            const nlohmann::json asideReport = aside.report(30s);
+            Promises promises;
+            promises.addLoad(lookupReport);
+            promises.addLoad(lodgingReport);
+            promises.addLoad(asideReport);
+            const std::string context = std::string(row.fault) + " " + row.reverseFault + "\nlookups " + summary(lookupReport)
+                                        + "\nlodging " + summary(lodgingReport) + "\naside " + summary(asideReport);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string(), promises.broken(fleet.runs()));
+            // Lookups have other homes, and node 2 has its own path to node 1.
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, lookupReport["requests"].get<int>(), lookupReport["ok"].get<int>());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, asideReport["requests"].get<int>(), asideReport["ok"].get<int>());
+            TestRequest request;
+            request.target = "/single-1";
+            CPPUNIT_ASSERT_MESSAGE(context, waitFor(5s, [&] {
+                                       return fleet.call(0, request).status == 200;
+                                   }));
+        }
+    }
+
+    /// Guards against promises that hold for each fault alone and break for both.
+    void twoFaultsAtOnceKeepPromises()
+    {
+        struct Row
+        {
+            const char *name;
+            std::function<void(FleetFixture &)> first;
+            std::function<void(FleetFixture &)> second;
+        };
+        const auto killNode = [](unsigned node) {
+            return [node](FleetFixture &fleet) {
+                fleet.node(node).kill();
+            };
+        };
+        const auto silentPath = [](FleetFixture &fleet) {
+            fleet.setPath(0, 2, R"({"forward_silent": true, "backward_silent": true})");
+        };
+        const auto frozenService = [](FleetFixture &fleet) {
+            fleet.setServiceMode("frozen");
+        };
+        const auto hangingUpstream = [](FleetFixture &fleet) {
+            fleet.setUpstream("lodging-2", R"({"hang": true})");
+        };
+        const auto pausedNode = [](FleetFixture &fleet) {
+            fleet.node(1).signal(SIGSTOP);
+            std::this_thread::sleep_for(2500ms);
+            fleet.node(1).signal(SIGCONT);
+        };
+        const Row rows[] = {
+            {"home killed, configuration service frozen", killNode(1), frozenService},
+            {"home killed, path to another home silent", killNode(1), silentPath},
+            {"home paused, upstream of another hangs", hangingUpstream, pausedNode},
+            {"two homes killed", killNode(1), killNode(2)},
+            {"path silent, home paused", silentPath, pausedNode},
+        };
+        for (const Row &row : rows) {
+            FleetOptions options;
+            options.relayPeers = true;
+            options.deadlineMs = 2000;
+            FleetFixture fleet(options);
+            fleet.setUpstream("all", R"({"base_delay_ms": 50})");
+            BackgroundLoad lookups(loadFlags(fleet.callerAddress(0), "/lookups", 40, "GET", "1"), "/dev/null");
+            BackgroundLoad lodging(loadFlags(fleet.callerAddress(0), "/lodging", 40, "POST", "2"), "/dev/null");
+            std::this_thread::sleep_for(1s);
+            row.first(fleet);
+            row.second(fleet);
+            const nlohmann::json lookupReport = lookups.report(60s);
+            const nlohmann::json lodgingReport = lodging.report(60s);
+            Promises promises;
+            promises.addLoad(lookupReport);
+            promises.addLoad(lodgingReport);
+            const std::string context
+                = std::string(row.name) + "\nlookups " + summary(lookupReport) + "\nlodging " + summary(lodgingReport);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string(), promises.broken(fleet.runs()));
+            // Node 0 and its own upstreams are in order, so lookups sent again get through.
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, lookupReport["requests"].get<int>(), lookupReport["ok"].get<int>());
+        }
+    }
+
+private:
+    /// Flags of a load of 8 s on one node; POST requests carry issued keys.
+    static std::vector<std::string> loadFlags(
+        const std::string &target, const std::string &path, int rate, const std::string &method, const std::string &seed)
+    {
+        std::vector<std::string> flags = {"--targets=" + target,
+                                          "--path=" + path,
+                                          "--rate=" + std::to_string(rate),
+                                          "--method=" + method,
+                                          "--seed=" + seed,
+                                          "--duration_s=8",
+                                          "--account=charity",
+                                          "--lists",
+                                          "--resends=4"};
+        if (method == "POST") {
+            flags.emplace_back("--issued_keys");
+        }
+        return flags;
+    }
+
+    static std::string summary(nlohmann::json report)
+    {
+        report.erase("not_run_request_ids");
+        report.erase("ok_keys");
+        return report.dump();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PartitionTest);
--- /dev/null
+++ b/processtests/pathverdicttest.cpp
@@ -0,0 +1,47 @@
+#include "support/fleetfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+/// Verdicts about paths and about upstreams are separate (section 4.4).
+class PathVerdictTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PathVerdictTest);
+    CPPUNIT_TEST(silentPathEjectsNoUpstream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a silent path that is held against the upstreams behind it.
+    void silentPathEjectsNoUpstream()
+    {
+        FleetOptions options;
+        options.relayPeers = true;
+        FleetFixture fleet(options);
+        BackgroundLoad load({"--targets=" + fleet.callerAddress(0) + "," + fleet.callerAddress(2),
+                             "--path=/lookups",
+                             "--rate=50",
+                             "--duration_s=6",
+                             "--account=charity"},
+                            "/dev/null");
+        std::this_thread::sleep_for(1s);
+        fleet.setPath(0, 1, R"({"forward_silent": true})");
+        load.report(30s);
+        for (const unsigned node : {0U, 2U}) {
+            TestRequest request;
+            request.target = "/upstreams";
+            const TestReply reply = sendRequest(fleet.operatorsAddress(node), request);
+            int listed = 0;
+            for (const nlohmann::json &upstream : reply.json()["upstreams"]) {
+                listed += upstream["name"] == "lookups-1" ? 1 : 0;
+                CPPUNIT_ASSERT_MESSAGE(upstream.dump(), upstream["state"] != "ejected");
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.describe(), 1, listed);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PathVerdictTest);
