Explain, outcome and empty queues on ejection

Cause: the operators' port had no source for explain and outcome; requests that waited for an ejected upstream waited until their deadline. Change: explain() over the document and the directory, a ledger look-up that changes nothing, and SlotAdmission::refuseQueued() on an ejection. The list in pathverdicttest was iterated through a temporary that had ended; it is named now. Ruled out: answering /outcome by the ledger's query, which writes a tombstone.

--- a/galenarack/execution/executionledger.cpp
+++ b/galenarack/execution/executionledger.cpp
@@ -205,6 +205,26 @@
     return LedgerDecision::Tombstoned();
 }
 
+std::optional<ExecutionLedger::Inspection> ExecutionLedger::inspect(const WorkId &work) const
+{
+    const auto slot = this->find(work);
+    if (!slot) {
+        return std::nullopt;
+    }
+    const Entry &entry = this->entries[*slot];
+    switch (entry.state) {
+    case State::Accepted:
+        return Inspection{"accepted", Execution::MayHaveRun};
+    case State::Dispatched:
+        return Inspection{"dispatched", Execution::MayHaveRun};
+    case State::Finished:
+        return Inspection{"finished", entry.response ? Execution::Ran : errorRow(entry.failure).execution};
+    case State::Tombstone:
+        return Inspection{"tombstone", Execution::NotRun};
+    }
+    return std::nullopt;
+}
+
 void ExecutionLedger::expire(TimePoint now)
 {
     while (const auto slot = this->wheel.takeDue(now)) {
--- a/galenarack/execution/executionledger.h
+++ b/galenarack/execution/executionledger.h
@@ -154,6 +154,17 @@
     /// Refuses with OutcomeUnknown, KeyConflict, AnswerNotKept or the kind that the work ended with.
     LedgerDecision::Outcome queryOutcome(const LedgerRequest &request, TimePoint now);
 
+    /// What an operator may know of an entry.
+    struct Inspection
+    {
+        std::string_view state; ///< "accepted", "dispatched", "finished" or "tombstone".
+        Execution execution; ///< What is certain so far.
+    };
+
+    /// Looks at an entry and changes nothing, unlike queryOutcome().
+    /// @return nothing when there is no entry
+    std::optional<Inspection> inspect(const WorkId &work) const;
+
     /// Drops what has outlived its time; call on each tick. Costs a step per entry dropped and per 10 ms passed.
     void expire(TimePoint now);
 
--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -454,6 +454,9 @@
             record.durationMs = std::chrono::duration_cast<std::chrono::milliseconds>(change.ejectionTime).count();
             this->audit.append(std::move(record));
             this->metrics.countEjection(name);
+            if (row != nullptr) {
+                row->admission->refuseQueued();
+            }
         } else if (change.from == HomeVerdict::Ejected || change.from == HomeVerdict::Trial) {
             this->audit.append(UpstreamReinstated{name, service, std::string(verdictName(change.to)) + "; " + evidence});
             this->metrics.countReinstatement(name);
--- a/galenarack/home/slotadmission.cpp
+++ b/galenarack/home/slotadmission.cpp
@@ -78,6 +78,16 @@
     co_return makeError(ErrorKind::DeadlinePassed, "the deadline passed in the queue of the upstream");
 }
 
+void SlotAdmission::refuseQueued()
+{
+    for (const auto &[ticket, waiter] : this->waiters) {
+        if (this->queue.remove(ticket)) {
+            waiter->dropped = true;
+            waiter->signal.cancel();
+        }
+    }
+}
+
 void SlotAdmission::setSlots(std::uint32_t slots)
 {
     assert(slots > 0);
--- a/galenarack/home/slotadmission.h
+++ b/galenarack/home/slotadmission.h
@@ -48,6 +48,9 @@
     /// @return ok and `claim` holds a slot; Overloaded or DeadlinePassed: the work was not started
     boost::asio::awaitable<absl::Status> acquire(Claim &claim, std::string_view account, TimePoint expiry, Duration needed, bool mayQueue);
 
+    /// Sends all waiting requests away; acquire() returns Overloaded, so that another upstream can take them.
+    void refuseQueued();
+
     /// Changes the number of slots, for example with a new revision.
     void setSlots(std::uint32_t slots);
 
--- a/galenarack/node/node.cpp
+++ b/galenarack/node/node.cpp
@@ -1,6 +1,7 @@
 #include <galenarack/node/node.h>
 
 #include <galenarack/core/errorkind.h>
+#include <galenarack/node/explain.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -395,9 +396,26 @@
     sources.audit = [this](std::uint64_t after) {
         return this->audit.page(after);
     };
+    sources.outcome = [this](RequestId id) -> asio::awaitable<OperatorReply> {
+        co_return this->outcomeReply(id);
+    };
+    sources.explain = [this](const ExplainQuery &query) {
+        return explain(this->config.document().get(), this->directory.status(), query);
+    };
     return sources;
 }
 
+OperatorReply Node::outcomeReply(RequestId id) const
+{
+    OperatorReply reply;
+    reply.body["request_id"] = id.toString();
+    const auto entry = this->home.executionLedger().inspect(WorkId::of(id));
+    reply.body["execution"] = executionName(entry ? entry->execution : Execution::MayHaveRun);
+    reply.body["state"] = entry ? entry->state : "unknown";
+    reply.body["detail"] = entry ? "" : "this node has no entry; work with an idempotency key is kept under its key";
+    return reply;
+}
+
 NodeStatus Node::status() const
 {
     const TimePoint now = NodeClock::now();
--- a/galenarack/node/node.h
+++ b/galenarack/node/node.h
@@ -60,6 +60,7 @@
     std::shared_ptr<const Document> servingDocument() const;
     Readiness readiness() const;
     OperatorSources operatorSources();
+    OperatorReply outcomeReply(RequestId id) const;
     NodeStatus status() const;
     std::vector<UpstreamStatus> upstreamStatus() const;
     bool isIdle() const;
--- a/processtests/pathverdicttest.cpp
+++ b/processtests/pathverdicttest.cpp
@@ -35,7 +35,8 @@
             request.target = "/upstreams";
             const TestReply reply = sendRequest(fleet.operatorsAddress(node), request);
             int listed = 0;
-            for (const nlohmann::json &upstream : reply.json()["upstreams"]) {
+            const nlohmann::json body = reply.json();
+            for (const nlohmann::json &upstream : body["upstreams"]) {
                 listed += upstream["name"] == "lookups-1" ? 1 : 0;
                 CPPUNIT_ASSERT_MESSAGE(upstream.dump(), upstream["state"] != "ejected");
             }
