Test the fair queue against a model

Cause: FairQueue decides which account loses or gets a slot and had no test of its own. Change: a property over random pushes, pops and removals in virtual time: bounded, the account that waits most loses its newest request, no account is served twice while another with requests in time waits, nothing is handed out too late, and each ticket leaves once. A second case covers a lowered limit. Ruled out: comparing with a second implementation, which would repeat the same decisions.

--- /dev/null
+++ b/unittests/fairqueuetest.cpp
@@ -0,0 +1,193 @@
+#include <galenarack/home/fairqueue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+using namespace Galenarack;
+
+namespace {
+
+constexpr std::size_t accountCount = 4;
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint(std::chrono::hours(1) + std::chrono::milliseconds(milliseconds));
+}
+
+/// The queue under test and what it must hold.
+struct CheckedQueue
+{
+    struct Waiting
+    {
+        FairQueue::Ticket ticket;
+        TimePoint expiry;
+    };
+
+    explicit CheckedQueue(std::size_t limit)
+        : limit(limit)
+        , queue(limit)
+    {
+    }
+
+    std::size_t limit;
+    FairQueue queue;
+    std::array<std::vector<Waiting>, accountCount> waiting;
+    /// served[a][b]: requests of a handed out since b was served or began to wait.
+    std::array<std::array<int, accountCount>, accountCount> served{};
+    FairQueue::Ticket next = 1;
+    TimePoint now = at(0);
+
+    static std::string name(std::size_t account)
+    {
+        return "account-" + std::to_string(account);
+    }
+
+    /// Takes a ticket out of the model. Fails when the ticket does not wait, so no ticket leaves twice.
+    std::size_t take(FairQueue::Ticket ticket, bool mustBeNewest)
+    {
+        for (std::size_t account = 0; account < accountCount; ++account) {
+            auto &entries = this->waiting[account];
+            const auto entry = std::ranges::find(entries, ticket, &Waiting::ticket);
+            if (entry != entries.end()) {
+                RC_ASSERT(!mustBeNewest || std::next(entry) == entries.end());
+                entries.erase(entry);
+                if (entries.empty()) {
+                    this->forget(account);
+                }
+                return account;
+            }
+        }
+        RC_FAIL("a ticket left that does not wait");
+    }
+
+    void forget(std::size_t account)
+    {
+        for (std::size_t other = 0; other < accountCount; ++other) {
+            this->served[other][account] = 0;
+        }
+    }
+
+    std::size_t total() const
+    {
+        std::size_t sum = 0;
+        for (const auto &entries : this->waiting) {
+            sum += entries.size();
+        }
+        return sum;
+    }
+
+    void push(std::size_t account, TimePoint expiry)
+    {
+        const FairQueue::Ticket ticket = this->next++;
+        this->waiting[account].push_back({ticket, expiry});
+        const auto dropped = this->queue.push(ticket, name(account), expiry);
+        RC_ASSERT(dropped.has_value() == (this->total() > this->limit));
+        if (dropped) {
+            std::size_t longest = 0;
+            for (const auto &entries : this->waiting) {
+                longest = std::max(longest, entries.size());
+            }
+            const std::size_t loser = this->take(*dropped, true);
+            RC_ASSERT(this->waiting[loser].size() + 1 == longest);
+        }
+    }
+
+    void pop(Duration needed)
+    {
+        std::vector<FairQueue::Ticket> expired;
+        const auto ticket = this->queue.pop(this->now, needed, expired);
+        for (const FairQueue::Ticket late : expired) {
+            RC_ASSERT(this->expiryOf(late) <= this->now + needed);
+            this->take(late, false);
+        }
+        if (!ticket) {
+            RC_ASSERT(this->total() == 0U);
+            return;
+        }
+        RC_ASSERT(this->expiryOf(*ticket) > this->now + needed);
+        const std::size_t account = this->take(*ticket, false);
+        this->forget(account);
+        for (std::size_t other = 0; other < accountCount; ++other) {
+            if (other != account && !this->waiting[other].empty()) {
+                RC_ASSERT(++this->served[account][other] <= 1);
+            }
+        }
+    }
+
+    TimePoint expiryOf(FairQueue::Ticket ticket) const
+    {
+        for (const auto &entries : this->waiting) {
+            const auto entry = std::ranges::find(entries, ticket, &Waiting::ticket);
+            if (entry != entries.end()) {
+                return entry->expiry;
+            }
+        }
+        RC_FAIL("a ticket that does not wait");
+    }
+
+    void remove(FairQueue::Ticket ticket)
+    {
+        const std::size_t before = this->total();
+        if (this->queue.remove(ticket)) {
+            this->take(ticket, false);
+            RC_ASSERT(this->total() + 1 == before);
+        }
+    }
+};
+
+} // namespace
+
+class FairQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FairQueueTest);
+    CPPUNIT_TEST(boundedFairAndInTime);
+    CPPUNIT_TEST(loweredLimitKeepsWaitingRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a queue that grows without bound, a busy account that displaces or starves others, and a request that
+    /// is handed out too late, twice or never.
+    void boundedFairAndInTime()
+    {
+        CPPUNIT_ASSERT(rc::check("bounded, fair and in time", [] {
+            CheckedQueue checked(*rc::gen::inRange<std::size_t>(1, 12));
+            const int steps = *rc::gen::inRange(1, 120);
+            for (int i = 0; i < steps; ++i) {
+                checked.now += std::chrono::milliseconds(*rc::gen::inRange(0, 8));
+                switch (*rc::gen::inRange(0, 6)) {
+                case 0:
+                case 1:
+                case 2:
+                    checked.push(*rc::gen::inRange<std::size_t>(0, accountCount),
+                                 checked.now + std::chrono::milliseconds(*rc::gen::inRange(0, 120)));
+                    break;
+                case 3:
+                case 4:
+                    checked.pop(std::chrono::milliseconds(*rc::gen::inRange(0, 30)));
+                    break;
+                default:
+                    checked.remove(*rc::gen::inRange<FairQueue::Ticket>(1, checked.next + 1));
+                }
+                RC_ASSERT(checked.queue.size() == checked.total());
+                RC_ASSERT(checked.queue.size() <= checked.limit);
+            }
+        }));
+    }
+
+    /// Guards against a new revision that drops requests which wait already.
+    void loweredLimitKeepsWaitingRequests()
+    {
+        FairQueue queue(3);
+        for (FairQueue::Ticket ticket = 1; ticket <= 3; ++ticket) {
+            CPPUNIT_ASSERT(!queue.push(ticket, "a", at(1000)));
+        }
+        queue.setLimit(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, queue.size());
+        CPPUNIT_ASSERT(queue.push(4, "b", at(1000)) == FairQueue::Ticket{3});
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FairQueueTest);
