Keep the latest start of each queued request by itself

Cause: SlotAdmission kept the usual time of the last request that arrived and applied it to all that waited. A request of a slow route made the queue drop requests of quick routes that had ample time, as overloaded. Change: each request waits until its own expiry less its own usual time. Ruled out: one entry more per ticket in FairQueue; the difference of the two times is enough. Tests: slowRouteDoesNotDropQuickRequest fails before and passes after. The property neverMoreInFlightThanSlots (any order of start, cancel, end and expiry) passed before as well. Conclusion: the queue judges each request by its own route.

--- a/galenarack/home/slotadmission.cpp
+++ b/galenarack/home/slotadmission.cpp
@@ -38,7 +38,6 @@
     Claim &claim, std::string_view account, TimePoint expiry, Duration needed, bool mayQueue)
 {
     const TimePoint now = NodeClock::now();
-    this->needed = needed;
     if (now >= expiry) {
         co_return makeError(ErrorKind::DeadlinePassed, "the request came in after its deadline");
     }
@@ -56,7 +55,8 @@
     claim.ticket = this->nextTicket++;
     const auto waiter = std::make_shared<Waiter>(this->executor);
     this->waiters.emplace(claim.ticket, waiter);
-    if (const auto dropped = this->queue.push(claim.ticket, account, expiry)) {
+    // The time that work needs differs by route, so each request waits until its own latest start.
+    if (const auto dropped = this->queue.push(claim.ticket, account, expiry - needed)) {
         this->wake(*dropped, &Waiter::dropped);
     }
     waiter->signal.expires_after(expiry - now);
@@ -95,7 +95,7 @@
 {
     std::vector<FairQueue::Ticket> expired;
     while (this->used < this->slots) {
-        const auto ticket = this->queue.pop(NodeClock::now(), this->needed, expired);
+        const auto ticket = this->queue.pop(NodeClock::now(), Duration::zero(), expired);
         if (!ticket) {
             break;
         }
--- a/galenarack/home/slotadmission.h
+++ b/galenarack/home/slotadmission.h
@@ -98,7 +98,6 @@
     FairQueue queue;
     std::map<FairQueue::Ticket, std::shared_ptr<Waiter>> waiters;
     FairQueue::Ticket nextTicket = 1;
-    Duration needed = Duration::zero();
 };
 
 } // namespace Galenarack
