Read past interim responses of upstreams

Cause: UpstreamPool took a 1xx response for the response of the request and failed it as invalid, although the work ran. The caller's Expect field was passed on, so a caller that sends `Expect: 100-continue` caused this itself. Change: up to 8 interim responses are read and dropped; 101 stays invalid. Expect is not passed on, as the ingress answers it. Ruled out: dropping Expect alone, since an upstream may send 103 unasked. Tests: a table of 21 responses of an in-process upstream (truncated, overlong, mismatched echo, no length, bytes after the response, half-closed, slow), each with its error kind and whether the connection is used again. The case of interim responses and connectionFieldsStayOnTheirConnection fail before and pass after. Conclusion: no other row showed a fault.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace Galenarack {
 
@@ -21,9 +22,13 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Fields that belong to one connection and are not passed on (RFC 9110 section 7.6.1).
-constexpr std::array<std::string_view, 8> hopByHopFields
-    = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length"};
+/// Fields that belong to one connection and are not passed on (RFC 9110 section 7.6.1). The ingress has answered `expect`
+/// itself, since the body is complete before the request is forwarded.
+constexpr std::array<std::string_view, 9> hopByHopFields
+    = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
+
+/// Interim responses that may precede the response; upstreams send one or two.
+constexpr unsigned interimLimit = 8;
 
 bool isHopByHop(std::string_view name)
 {
@@ -72,6 +77,12 @@
     return response;
 }
 
+/// @return whether the response of the request follows this one (RFC 9110 section 15.2); 101 would end HTTP on the connection
+bool isInterim(unsigned status)
+{
+    return status / 100 == 1 && status != 101;
+}
+
 absl::Status readError(const beast::error_code &error, TimePoint deadline)
 {
     if (NodeClock::now() >= deadline || error == beast::error::timeout) {
@@ -120,15 +131,19 @@
     if (writeError) {
         co_return readError(writeError, deadline);
     }
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
-    parser.body_limit(this->limits.bodyBytes);
-    parser.skip(request.method == "HEAD");
     beast::flat_buffer buffer(this->limits.headerBytes + this->limits.bodyBytes);
-    const auto [error, length] = co_await http::async_read(stream, buffer, parser, awaitTuple);
-    if (error) {
-        co_return readError(error, deadline);
+    std::optional<http::response_parser<http::string_body>> reader;
+    for (unsigned interim = 0; !reader || (isInterim(reader->get().result_int()) && interim < interimLimit); ++interim) {
+        reader.emplace();
+        reader->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+        reader->body_limit(this->limits.bodyBytes);
+        reader->skip(request.method == "HEAD");
+        const auto [error, length] = co_await http::async_read(stream, buffer, *reader, awaitTuple);
+        if (error) {
+            co_return readError(error, deadline);
+        }
     }
+    http::response_parser<http::string_body> &parser = *reader;
 
     // Without a length the end of the connection ends the body, so a cut cannot be told from the end.
     const bool lengthKnown = parser.content_length() || parser.chunked() || parser.skip() || parser.get().result_int() == 204
--- /dev/null
+++ b/unittests/upstreampooltest.cpp
@@ -0,0 +1,227 @@
+#include "asiosupport.h"
+
+#include <galenarack/core/errorkind.h>
+#include <galenarack/home/upstreampool.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view requestId = "000000000000feed0000000000000007";
+constexpr std::string_view good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+enum class After {
+    Keep,
+    Close,
+    HalfClose, ///< The upstream sends no more, but still reads.
+    LateBytes, ///< More bytes follow a moment later.
+};
+
+struct Script
+{
+    std::string response;
+    After after = After::Keep;
+};
+
+/// An upstream that answers the first request by a script and the others well.
+class ScriptedUpstream
+{
+public:
+    ScriptedUpstream(asio::io_context &context, Script script)
+        : script(std::move(script))
+        , acceptor(context, anyLoopbackPort())
+    {
+        asio::co_spawn(context, this->accept(), asio::detached);
+    }
+
+    tcp::endpoint address() const
+    {
+        return this->acceptor.local_endpoint();
+    }
+
+    int connections = 0;
+    std::string lastRequest;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            auto [error, socket] = co_await this->acceptor.async_accept(awaitTuple);
+            if (error) {
+                co_return;
+            }
+            ++this->connections;
+            asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string buffer;
+        for (;;) {
+            const auto [error, length] = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", awaitTuple);
+            if (error) {
+                co_return;
+            }
+            this->lastRequest = buffer.substr(0, length);
+            buffer.clear();
+            const Script now = std::exchange(this->script, Script{std::string(good)});
+            co_await asio::async_write(socket, asio::buffer(now.response), awaitTuple);
+            if (now.after == After::Close) {
+                co_return;
+            }
+            if (now.after == After::HalfClose) {
+                socket.shutdown(tcp::socket::shutdown_send);
+            }
+            if (now.after == After::LateBytes) {
+                asio::steady_timer timer(socket.get_executor(), 50ms);
+                co_await timer.async_wait(awaitTuple);
+                co_await asio::async_write(socket, asio::buffer(good), awaitTuple);
+            }
+        }
+    }
+
+    Script script;
+    tcp::acceptor acceptor;
+};
+
+struct Case
+{
+    const char *name;
+    Script script;
+    std::optional<ErrorKind> error;
+    bool reused;
+    Duration timeout = hangLimit;
+};
+
+UpstreamLimits smallLimits()
+{
+    UpstreamLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 1024;
+    limits.connectTimeout = 10s;
+    return limits;
+}
+
+absl::StatusOr<PeerResponse> ask(asio::io_context &context, UpstreamPool &pool, Duration timeout, HeaderList headers = {})
+{
+    const PeerRequest request{"GET", "/records/1", std::move(headers), ""};
+    UpstreamCall call;
+    return runTask(context, pool.request(request, requestId, NodeClock::now() + timeout, call));
+}
+
+const std::vector<Case> &cases()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    static const std::vector<Case> table = {
+        {"complete", {std::string(good)}, std::nullopt, true},
+        {"chunked", {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}, std::nullopt, true},
+        {"echo that matches",
+         {ok + "galenarack-request-id: " + std::string(requestId) + "\r\nContent-Length: 2\r\n\r\nok"},
+         std::nullopt,
+         true},
+        {"interim responses",
+         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + std::string(good)},
+         std::nullopt,
+         true},
+        {"connection: close", {ok + "Connection: close\r\nContent-Length: 2\r\n\r\nok"}, std::nullopt, false},
+        {"half-closed after the response", {std::string(good), After::HalfClose}, std::nullopt, false},
+        {"late bytes after the response", {std::string(good), After::LateBytes}, std::nullopt, false},
+        {"no response", {"", After::Close}, ErrorKind::UpstreamAnswerCut, false},
+        {"truncated header", {"HTTP/1.1 200 OK\r\nContent-Le", After::Close}, ErrorKind::UpstreamAnswerCut, false},
+        {"truncated body", {ok + "Content-Length: 10\r\n\r\nok", After::Close}, ErrorKind::UpstreamAnswerCut, false},
+        {"truncated body, half-closed", {ok + "Content-Length: 10\r\n\r\nok", After::HalfClose}, ErrorKind::UpstreamAnswerCut, false},
+        {"truncated chunk", {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nok", After::Close}, ErrorKind::UpstreamAnswerCut, false},
+        {"overlong body", {ok + "Content-Length: 1025\r\n\r\n" + std::string(1025, 'x')}, ErrorKind::UpstreamAnswerTooLarge, false},
+        {"overlong chunk",
+         {ok + "Transfer-Encoding: chunked\r\n\r\n401\r\n" + std::string(1025, 'x')},
+         ErrorKind::UpstreamAnswerTooLarge,
+         false},
+        {"overlong header", {ok + "X-Long: " + std::string(4096, 'x') + "\r\n\r\n"}, ErrorKind::UpstreamAnswerTooLarge, false},
+        {"mismatched echo",
+         {ok + "galenarack-request-id: 00000000000000010000000000000001\r\nContent-Length: 2\r\n\r\nok"},
+         ErrorKind::UpstreamAnswerInvalid,
+         false},
+        {"no length", {ok + "\r\nok", After::Close}, ErrorKind::UpstreamAnswerInvalid, false},
+        {"two lengths", {ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!"}, ErrorKind::UpstreamAnswerInvalid, false},
+        {"bytes after the response", {std::string(good) + std::string(good)}, ErrorKind::UpstreamAnswerInvalid, false},
+        {"garbage", {"SSH-2.0-server\r\n\r\n"}, ErrorKind::UpstreamAnswerInvalid, false},
+        {"slow response", {ok + "Content-Length: 2\r\n\r\n"}, ErrorKind::Timeout, false, 200ms},
+    };
+    return table;
+}
+
+} // namespace
+
+class UpstreamPoolTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamPoolTest);
+    CPPUNIT_TEST(faultyResponsesAreToldApartAndNotReused);
+    CPPUNIT_TEST(refusedConnectionSurelyDidNotRun);
+    CPPUNIT_TEST(connectionFieldsStayOnTheirConnection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a response that reaches another request over a kept connection, and against an error kind that
+    /// misstates what happened at the upstream.
+    void faultyResponsesAreToldApartAndNotReused()
+    {
+        for (const Case &row : cases()) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, row.script);
+            UpstreamPool pool(context.get_executor(), upstream.address(), smallLimits());
+            const auto first = ask(context, pool, row.timeout);
+            CPPUNIT_ASSERT_MESSAGE(row.name, first.ok() == !row.error);
+            if (row.error) {
+                const std::string seen(errorRow(errorKindOf(first.status())).name);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(errorRow(*row.error).name), seen);
+            } else {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("ok"), first->body);
+            }
+            // Time for late bytes and for the end of the connection to arrive.
+            runFor(context, 150ms);
+            const auto second = ask(context, pool, hangLimit);
+            CPPUNIT_ASSERT_MESSAGE(row.name, second.ok() && second->body == "ok");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.reused ? 1 : 2, upstream.connections);
+        }
+    }
+
+    /// Guards against a refused connection that is taken for work that may have run, which would forbid a retry.
+    void refusedConnectionSurelyDidNotRun()
+    {
+        asio::io_context context;
+        tcp::acceptor closed(context, anyLoopbackPort());
+        const tcp::endpoint address = closed.local_endpoint();
+        closed.close();
+        UpstreamPool pool(context.get_executor(), address, smallLimits());
+        const auto response = ask(context, pool, hangLimit);
+        CPPUNIT_ASSERT(errorKindOf(response.status()) == ErrorKind::UpstreamConnectFailed);
+    }
+
+    /// Guards against fields of the caller's connection that change how the upstream answers, e.g. an interim response.
+    void connectionFieldsStayOnTheirConnection()
+    {
+        asio::io_context context;
+        ScriptedUpstream upstream(context, {std::string(good)});
+        UpstreamPool pool(context.get_executor(), upstream.address(), smallLimits());
+        HeaderList headers;
+        headers.add("expect", "100-continue");
+        headers.add("connection", "close");
+        headers.add("x-kept", "1");
+        CPPUNIT_ASSERT(ask(context, pool, hangLimit, headers).ok());
+        CPPUNIT_ASSERT(upstream.lastRequest.find("100-continue") == std::string::npos);
+        CPPUNIT_ASSERT(upstream.lastRequest.find("close") == std::string::npos);
+        CPPUNIT_ASSERT(upstream.lastRequest.find("x-kept: 1") != std::string::npos);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamPoolTest);
