Refuse deeply nested reports before they are parsed

Cause: the CBOR reader of the library recurses into nested arrays, maps and chunked strings, so a hello with a body of 1 MB of one repeated byte exhausts the stack. Anyone who reaches the peer port could end the process. Change: NodeReport::decode() first walks over the items without recursion, and refuses indefinite lengths, tags and more than four levels, which reports do not use. Ruled out: a smaller body limit, as one byte makes a level; a SAX handler with a depth limit, which does not see chunked strings. Conclusion: malformed reports are refused as invalid-request.

--- a/galenarack/peer/peercontrol.cpp
+++ b/galenarack/peer/peercontrol.cpp
@@ -62,6 +62,59 @@
     return error == std::errc() && end == text.data() + text.size();
 }
 
+/// Walks over CBOR items (RFC 8949 section 3) without recursion. The library reads nested items and chunked strings by
+/// recursion, so that a body of 1 MB could exhaust the stack.
+/// @return whether the bytes are whole items of definite length, nested at most as deep as a report
+bool isShallowCbor(std::string_view bytes)
+{
+    constexpr std::size_t maxDepth = 4;
+    constexpr unsigned byteArgument = 24;
+    constexpr unsigned longestArgument = 27;
+    std::vector<std::uint64_t> open = {1}; // Items still to come at each level.
+    std::size_t position = 0;
+    while (!open.empty()) {
+        if (open.back() == 0) {
+            open.pop_back();
+            continue;
+        }
+        --open.back();
+        if (position == bytes.size()) {
+            return false;
+        }
+        const auto head = static_cast<std::uint8_t>(bytes[position++]);
+        const unsigned major = head >> 5U;
+        std::uint64_t argument = head & 31U;
+        if (argument > longestArgument) {
+            return false;
+        }
+        if (argument >= byteArgument) {
+            const std::size_t length = std::size_t{1} << (argument - byteArgument);
+            if (bytes.size() - position < length) {
+                return false;
+            }
+            argument = 0;
+            for (const char c : bytes.substr(position, length)) {
+                argument = argument << 8U | static_cast<std::uint8_t>(c);
+            }
+            position += length;
+        }
+        const bool isString = major == 2 || major == 3;
+        const bool isContainer = major == 4 || major == 5;
+        if ((isString || isContainer) && argument > bytes.size() - position) {
+            return false;
+        }
+        if (isString) {
+            position += argument;
+        } else if (isContainer) {
+            open.push_back(major == 5 ? 2 * argument : argument);
+        }
+        if (major == 6 || open.size() > maxDepth) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 void appendReport(const UpstreamReport &report, HeaderList &headers)
@@ -119,6 +172,9 @@
 
 absl::StatusOr<NodeReport> NodeReport::decode(std::string_view bytes)
 {
+    if (!isShallowCbor(bytes)) {
+        return makeError(ErrorKind::InvalidRequest, "the report is cut short, or nested too deep");
+    }
     try {
         const nlohmann::json json = nlohmann::json::from_cbor(bytes);
         NodeReport report;
