Refuse forwarded requests with missing or malformed fields

Cause: ForwardMeta::fromHeaders() promised InvalidRequest, but took defaults for a missing or malformed account, upstream, revision, route class or flag, negative numbers, and times that overflow when converted to microseconds. A missing received time was reported as the expiry. Change: each field must be there and well-formed; the error names the field. Ruled out: optional fields for older nodes, since nodes of another protocol version are refused at hello. Conclusion: a home decides only about data that the ingress sent.

--- a/galenarack/peer/forwardmeta.cpp
+++ b/galenarack/peer/forwardmeta.cpp
@@ -2,6 +2,10 @@
 
 #include <galenarack/core/errorkind.h>
 
+#include <array>
+#include <limits>
+#include <utility>
+
 namespace Galenarack {
 
 namespace {
@@ -20,9 +24,36 @@
     return makeError(ErrorKind::InvalidRequest, "header field " + std::string(field) + " is missing or malformed");
 }
 
-bool isSet(const HeaderList &headers, std::string_view field)
+/// Above this a time in milliseconds overflows when it is converted to microseconds.
+constexpr std::int64_t maxNumber = std::numeric_limits<std::int64_t>::max() / 1000;
+
+/// Reads a number that is not negative.
+/// @return whether the field is there and well-formed
+template<typename Number>
+bool readNumber(const HeaderList &headers, std::string_view field, Number &number)
 {
-    return headers.find(field) == "1";
+    const auto value = headers.findNumber(field);
+    if (!value || *value < 0 || *value > maxNumber || !std::in_range<Number>(*value)) {
+        return false;
+    }
+    number = static_cast<Number>(*value);
+    return true;
+}
+
+/// @return whether the field is there and well-formed
+bool readFlag(const HeaderList &headers, std::string_view field, bool &flag)
+{
+    const auto value = headers.find(field);
+    flag = value == "1";
+    return flag || value == "0";
+}
+
+/// @return whether the field is there
+bool readText(const HeaderList &headers, std::string_view field, std::string &text)
+{
+    const auto value = headers.find(field);
+    text = value.value_or("");
+    return value.has_value();
 }
 
 std::optional<RequestFingerprint> parseFingerprint(std::string_view text)
@@ -70,29 +101,34 @@
     ForwardMeta meta;
     const auto id = RequestId::fromString(headers.find(PeerHeader::requestId).value_or(""));
     const auto addressedTo = Incarnation::fromString(headers.find(PeerHeader::incarnation).value_or(""));
-    const auto received = headers.findNumber(receivedField);
-    const auto expiry = headers.findNumber(PeerHeader::expiryMs);
     if (!id) {
         return missing(PeerHeader::requestId);
     }
     if (!addressedTo) {
         return missing(PeerHeader::incarnation);
     }
-    if (!received || !expiry) {
-        return missing(PeerHeader::expiryMs);
-    }
     meta.id = *id;
     meta.addressedTo = *addressedTo;
-    meta.receivedMs = *received;
-    meta.expiryMs = *expiry;
-    meta.account = headers.find(PeerHeader::account).value_or("");
-    meta.upstream = headers.find(PeerHeader::upstream).value_or("");
-    meta.revision = static_cast<std::uint64_t>(headers.findNumber(PeerHeader::revision).value_or(0));
-    meta.routeClass = static_cast<std::uint32_t>(headers.findNumber(routeClassField).value_or(0));
-    meta.repeatable = isSet(headers, PeerHeader::repeatable);
-    meta.insist = isSet(headers, PeerHeader::insist);
-    meta.mayQueue = isSet(headers, PeerHeader::mayQueue);
-    meta.serviceMedianUs = headers.findNumber(PeerHeader::serviceMedianUs).value_or(0);
+    const std::array<std::pair<std::string_view, bool>, 9> fields = {{
+        {receivedField, readNumber(headers, receivedField, meta.receivedMs)},
+        {PeerHeader::expiryMs, readNumber(headers, PeerHeader::expiryMs, meta.expiryMs)},
+        {PeerHeader::account, readText(headers, PeerHeader::account, meta.account)},
+        {PeerHeader::upstream, readText(headers, PeerHeader::upstream, meta.upstream)},
+        {PeerHeader::revision, readNumber(headers, PeerHeader::revision, meta.revision)},
+        {routeClassField, readNumber(headers, routeClassField, meta.routeClass)},
+        {PeerHeader::repeatable, readFlag(headers, PeerHeader::repeatable, meta.repeatable)},
+        {PeerHeader::insist, readFlag(headers, PeerHeader::insist, meta.insist)},
+        {PeerHeader::mayQueue, readFlag(headers, PeerHeader::mayQueue, meta.mayQueue)},
+    }};
+    for (const auto &[field, isWellFormed] : fields) {
+        if (!isWellFormed) {
+            return missing(field);
+        }
+    }
+    const bool hasMedian = headers.find(PeerHeader::serviceMedianUs).has_value();
+    if (hasMedian && !readNumber(headers, PeerHeader::serviceMedianUs, meta.serviceMedianUs)) {
+        return missing(PeerHeader::serviceMedianUs);
+    }
     if (const auto text = headers.find(PeerHeader::key)) {
         meta.key = IdempotencyKey::parse(*text);
         if (!meta.key) {
