Do not send fields of an HTTP/1.1 connection to peers

Cause: the ingress forwards the caller's fields, and HTTP/2 forbids connection, keep-alive, proxy-connection, transfer-encoding, upgrade and most values of te (RFC 9113 section 8.2.2). The home reset such a stream, so each request with `Connection: keep-alive` or a chunked body to another VM failed as peer-lost, may have run. Change: PeerSession leaves these fields out of requests and responses. Ruled out: leaving them out at the ingress alone, as every sender of a session needs the rule. Conclusion: requests with such fields reach other VMs.

--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -40,6 +40,19 @@
     return field;
 }
 
+/// Fields of an HTTP/1.1 connection. A peer resets a stream that carries one (RFC 9113 section 8.2.2).
+constexpr std::array<std::string_view, 6> connectionFields
+    = {"connection", "keep-alive", "proxy-connection", "te", "transfer-encoding", "upgrade"};
+
+void appendFields(const HeaderList &headers, std::vector<nghttp2_nv> &fields)
+{
+    for (const HeaderField &field : headers.all()) {
+        if (std::ranges::find(connectionFields, field.name) == connectionFields.end()) {
+            fields.push_back(toNghttp2(field.name, field.value));
+        }
+    }
+}
+
 std::string_view toView(const std::uint8_t *data, std::size_t length)
 {
     return {reinterpret_cast<const char *>(data), length};
@@ -151,9 +164,7 @@
     fields.push_back(toNghttp2(":scheme", "http"));
     fields.push_back(toNghttp2(":authority", "galenarack"));
     fields.push_back(toNghttp2(":path", request.path));
-    for (const HeaderField &field : request.headers.all()) {
-        fields.push_back(toNghttp2(field.name, field.value));
-    }
+    appendFields(request.headers, fields);
     nghttp2_data_provider provider{};
     provider.source.ptr = stream.get();
     provider.read_callback = &PeerSession::readBody;
@@ -352,9 +363,7 @@
     std::vector<nghttp2_nv> fields;
     fields.reserve(response.headers.all().size() + 1);
     fields.push_back(toNghttp2(":status", status));
-    for (const HeaderField &field : response.headers.all()) {
-        fields.push_back(toNghttp2(field.name, field.value));
-    }
+    appendFields(response.headers, fields);
     nghttp2_data_provider provider{};
     provider.source.ptr = &stream;
     provider.read_callback = &PeerSession::readBody;
