Name the setting that is wrong, and refuse more contradictions

Accepted without error: 0.0.0.0 with the port of another address of the node, the node's own ports as configuration service or home upstream, two upstreams of one address, a VM seeded twice, and names that keys and gossip cannot carry. Change: checkSettings() refuses these with flag, value and what is allowed. Ruled out: leaving it to bind errors, which come after the start and name no second flag. Tests: a table of 36 wrong settings; fails before and passes after. Conclusion: no row of the table starts a node.

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -82,11 +82,13 @@
 
 absl::Status checkHomeUpstreams(std::string_view value, std::vector<HomeUpstream> &upstreams)
 {
-    constexpr std::string_view allowed = "NAME=IP:PORT,... with each name once";
+    constexpr std::string_view allowed = "NAME=IP:PORT,... with each name and address once";
     for (const std::string_view part : splitList(value)) {
         const auto named = splitNamed(part);
         const auto endpoint = named ? parseEndpoint(named->second) : std::nullopt;
-        if (!endpoint || std::ranges::find(upstreams, named->first, &HomeUpstream::name) != upstreams.end()) {
+        // Two upstreams of one address would each get all of its slots.
+        if (!endpoint || !isGossipName(named->first) || std::ranges::find(upstreams, named->first, &HomeUpstream::name) != upstreams.end()
+            || std::ranges::find(upstreams, *endpoint, &HomeUpstream::address) != upstreams.end()) {
             return invalid("home_upstreams", part, allowed);
         }
         upstreams.push_back({named->first, *endpoint});
@@ -98,8 +100,9 @@
 {
     for (const std::string_view part : splitList(value)) {
         const auto named = splitNamed(part);
-        if (!named || !isGossipAddress(named->second)) {
-            return invalid("peer_seeds", part, "VM=IP,...");
+        if (!named || !isKeyVmName(named->first) || !isGossipAddress(named->second)
+            || std::ranges::find(seeds, named->first, &PeerSeed::vm) != seeds.end()) {
+            return invalid("peer_seeds", part, "VM=IP,... with each VM once");
         }
         seeds.push_back({named->first, std::string(named->second)});
     }
@@ -119,6 +122,39 @@
     return invalid("log_level", value, "debug, info, warn or error");
 }
 
+/// @return whether both cannot be bound at the same time, or a connection to one reaches the other
+bool overlap(const asio::ip::tcp::endpoint &a, const asio::ip::tcp::endpoint &b)
+{
+    const bool isAnyAddress = a.address().is_unspecified() || b.address().is_unspecified();
+    return a.port() == b.port() && (isAnyAddress || a.address() == b.address());
+}
+
+/// Checks that no two ports of the node share an address, and that neither the service nor an upstream has one of them.
+/// The error names the flag whose value an operator can change alone: the peer port is the same on all nodes.
+absl::Status checkOverlaps(const RawSettings &raw, const Settings &settings)
+{
+    constexpr std::string_view allowed = "an address that no other port of the node uses";
+    if (overlap(settings.callerAddress, settings.peerAddress)) {
+        return invalid("caller_address", raw.callerAddress, allowed);
+    }
+    if (overlap(settings.operatorsAddress, settings.callerAddress) || overlap(settings.operatorsAddress, settings.peerAddress)) {
+        return invalid("operators_address", raw.operatorsAddress, allowed);
+    }
+    const auto isOwn = [&settings](const asio::ip::tcp::endpoint &address) {
+        return overlap(address, settings.callerAddress) || overlap(address, settings.peerAddress)
+               || overlap(address, settings.operatorsAddress);
+    };
+    if (isOwn(settings.configService)) {
+        return invalid("config_service", raw.configService, allowed);
+    }
+    for (const HomeUpstream &upstream : settings.homeUpstreams) {
+        if (isOwn(upstream.address)) {
+            return invalid("home_upstreams", raw.homeUpstreams, "an address that no port of the node uses");
+        }
+    }
+    return absl::OkStatus();
+}
+
 } // namespace
 
 absl::StatusOr<Settings> checkSettings(const RawSettings &raw)
@@ -146,10 +182,8 @@
     if (settings.peerAddress.address().is_unspecified()) {
         status.Update(invalid("peer_address", raw.peerAddress, "the address by which other nodes reach this one"));
     }
-    const bool sharedAddress = settings.callerAddress == settings.peerAddress || settings.callerAddress == settings.operatorsAddress
-                               || settings.peerAddress == settings.operatorsAddress;
-    if (sharedAddress) {
-        status.Update(invalid("operators_address", raw.operatorsAddress, "an address that no other port of the node uses"));
+    if (status.ok()) {
+        status = checkOverlaps(raw, settings);
     }
     if (!status.ok()) {
         return status;
--- /dev/null
+++ b/unittests/settingstest.cpp
@@ -0,0 +1,142 @@
+#include <galenarack/core/errorkind.h>
+#include <galenarack/node/settings.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Galenarack;
+
+namespace {
+
+RawSettings goodSettings()
+{
+    RawSettings raw;
+    raw.fleet = "fleet";
+    raw.vm = "vm-1";
+    raw.failureDomain = "kl-a";
+    raw.callerAddress = "127.0.0.11:8080";
+    raw.peerAddress = "127.0.0.11:8081";
+    raw.operatorsAddress = "127.0.0.11:8082";
+    raw.configService = "127.0.0.1:18500";
+    raw.homeUpstreams = "donors-1=127.0.0.11:9001,donors-2=[::1]:9002";
+    raw.peerSeeds = "vm-2=127.0.0.12,vm-3=127.0.0.13";
+    raw.logLevel = "info";
+    raw.drainTimeoutSeconds = 30;
+    return raw;
+}
+
+struct Case
+{
+    std::string RawSettings::*field;
+    std::string value;
+    const char *flag; ///< Named by the error.
+    const char *allowed; ///< Part of what the error says is allowed.
+};
+
+const std::vector<Case> &cases()
+{
+    const std::string tooLong(64, 'x');
+    const char *name = "1 to 63 printable characters";
+    const char *address = "IP:PORT with an IP address and a port from 1 to 65535";
+    const char *other = "an address that no other port of the node uses";
+    static const std::vector<Case> table = {
+        {&RawSettings::fleet, "", "fleet", name},
+        {&RawSettings::fleet, "two words", "fleet", name},
+        {&RawSettings::fleet, tooLong, "fleet", name},
+        {&RawSettings::vm, "", "vm", "1 to 63 letters, digits or '-'"},
+        {&RawSettings::vm, "vm.1", "vm", "1 to 63 letters, digits or '-'"},
+        {&RawSettings::vm, tooLong, "vm", "1 to 63 letters, digits or '-'"},
+        {&RawSettings::failureDomain, "", "failure_domain", name},
+        {&RawSettings::callerAddress, "", "caller_address", address},
+        {&RawSettings::callerAddress, "localhost:8080", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11:0", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11:65536", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11:80x", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11:", "caller_address", address},
+        {&RawSettings::callerAddress, "127.0.0.11:8081", "caller_address", other},
+        {&RawSettings::peerAddress, "", "peer_address", address},
+        {&RawSettings::peerAddress, "0.0.0.0:8081", "peer_address", "the address by which other nodes reach this one"},
+        {&RawSettings::operatorsAddress, "", "operators_address", address},
+        {&RawSettings::operatorsAddress, "127.0.0.11:8080", "operators_address", other},
+        {&RawSettings::operatorsAddress, "127.0.0.11:8081", "operators_address", other},
+        {&RawSettings::operatorsAddress, "0.0.0.0:8080", "operators_address", other},
+        {&RawSettings::configService, "", "config_service", address},
+        {&RawSettings::configService, "127.0.0.11:8081", "config_service", other},
+        {&RawSettings::homeUpstreams, "donors-1", "home_upstreams", "NAME=IP:PORT"},
+        {&RawSettings::homeUpstreams, "=127.0.0.11:9001", "home_upstreams", "NAME=IP:PORT"},
+        {&RawSettings::homeUpstreams, "two words=127.0.0.11:9001", "home_upstreams", "NAME=IP:PORT"},
+        {&RawSettings::homeUpstreams, "donors-1=127.0.0.11", "home_upstreams", "NAME=IP:PORT"},
+        {&RawSettings::homeUpstreams, "a=127.0.0.11:9001,a=127.0.0.11:9002", "home_upstreams", "each name and address once"},
+        {&RawSettings::homeUpstreams, "a=127.0.0.11:9001,b=127.0.0.11:9001", "home_upstreams", "each name and address once"},
+        {&RawSettings::homeUpstreams, "a=127.0.0.11:8080", "home_upstreams", "an address that no port of the node uses"},
+        {&RawSettings::peerSeeds, "vm-2", "peer_seeds", "VM=IP"},
+        {&RawSettings::peerSeeds, "vm-2=127.0.0.12:8081", "peer_seeds", "VM=IP"},
+        {&RawSettings::peerSeeds, "vm.2=127.0.0.12", "peer_seeds", "VM=IP"},
+        {&RawSettings::peerSeeds, "vm-2=127.0.0.12,vm-2=127.0.0.13", "peer_seeds", "each VM once"},
+        {&RawSettings::logLevel, "", "log_level", "debug, info, warn or error"},
+        {&RawSettings::logLevel, "INFO", "log_level", "debug, info, warn or error"},
+    };
+    return table;
+}
+
+void requireError(const RawSettings &raw, const std::string &flag, const std::string &value, const std::string &allowed)
+{
+    const auto settings = checkSettings(raw);
+    CPPUNIT_ASSERT_MESSAGE("accepted: --" + flag + "=" + value, !settings.ok());
+    CPPUNIT_ASSERT(errorKindOf(settings.status()) == ErrorKind::SettingInvalid);
+    const std::string message = messageOf(settings.status());
+    CPPUNIT_ASSERT_MESSAGE(message, message.starts_with("--" + flag + "="));
+    CPPUNIT_ASSERT_MESSAGE(message, message.find(allowed) != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(message, message.find('\n') == std::string::npos);
+}
+
+} // namespace
+
+class SettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SettingsTest);
+    CPPUNIT_TEST(goodSettingsAreTaken);
+    CPPUNIT_TEST(errorsNameFlagValueAndWhatIsAllowed);
+    CPPUNIT_TEST(drainTimeoutIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a setting that is checked but not taken.
+    void goodSettingsAreTaken()
+    {
+        const Settings settings = checkSettings(goodSettings()).value();
+        CPPUNIT_ASSERT_EQUAL(std::string("vm-1"), settings.vm);
+        CPPUNIT_ASSERT_EQUAL(std::string("kl-a"), settings.failureDomain);
+        CPPUNIT_ASSERT_EQUAL(8082, int{settings.operatorsAddress.port()});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings.homeUpstreams.size());
+        CPPUNIT_ASSERT(settings.homeUpstreams[1].address.address().is_v6());
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.13"), settings.peerSeeds[1].address);
+        CPPUNIT_ASSERT(settings.drainTimeout == std::chrono::seconds(30));
+        RawSettings plain = goodSettings();
+        plain.homeUpstreams.clear();
+        plain.peerSeeds.clear();
+        plain.callerAddress = "0.0.0.0:8080";
+        CPPUNIT_ASSERT(checkSettings(plain).ok());
+    }
+
+    /// Guards against a node that starts with wrong settings, and against an error that names another flag than the wrong one.
+    void errorsNameFlagValueAndWhatIsAllowed()
+    {
+        for (const Case &row : cases()) {
+            RawSettings raw = goodSettings();
+            raw.*row.field = row.value;
+            requireError(raw, row.flag, row.value, row.allowed);
+        }
+    }
+
+    /// Guards against a node that ends at once, or never, after SIGTERM.
+    void drainTimeoutIsBounded()
+    {
+        for (const int seconds : {0, -1, 3601}) {
+            RawSettings raw = goodSettings();
+            raw.drainTimeoutSeconds = seconds;
+            requireError(raw, "drain_timeout_s", std::to_string(seconds), "1 to 3600 seconds");
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
