Let refused callers read why they were refused

Cause: after an error response the ingress closed the connection while the caller was still sending. Closing with unread bytes resets the connection, so the caller could lose the response: 503 connection-limit in connectionsAreBounded. Above the connection limit this holds for 64 connections at a time; others are closed without a response. A port accessor for tests. Ruled out: a byte limit, as the time limit bounds the work and nothing is kept. Conclusion: refusals arrive, and refused connections stay bounded.

--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/url/parse.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace Galenarack {
 
@@ -23,6 +24,9 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view controlPrefix = "/.galenarack/";
 constexpr std::string_view keysPath = "/.galenarack/keys";
+
+/// Connections above the limit that are told so at the same time; others are closed without a response.
+constexpr std::size_t maxRefusedConnections = 64;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 std::string toLower(std::string_view text)
@@ -122,6 +126,12 @@
     return absl::OkStatus();
 }
 
+asio::ip::tcp::endpoint IngressServer::address() const
+{
+    boost::system::error_code ignored;
+    return this->acceptor.local_endpoint(ignored);
+}
+
 void IngressServer::drain()
 {
     this->draining = true;
@@ -166,7 +176,15 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     Connection connection{beast::tcp_stream(std::move(socket)), beast::flat_buffer(this->limits.headerBytes + this->limits.bodyBytes)};
     if (this->connections >= this->limits.connections) {
+        if (this->refusedConnections >= maxRefusedConnections) {
+            co_return;
+        }
+        ++this->refusedConnections;
+        const ScopeGuard refused([this] {
+            --this->refusedConnections;
+        });
         co_await this->writeResponse(connection, problemResponse(ErrorKind::ConnectionLimit, "", ""), false, false);
+        co_await this->discardRest(connection);
         co_return;
     }
     ++this->connections;
@@ -204,6 +222,7 @@
             const ErrorKind kind = kindOfReadError(error);
             this->log.warn("request refused", {{"error_kind", errorRow(kind).name}, {"detail", error.message()}});
             co_await this->writeResponse(connection, problemResponse(kind, error.message(), ""), false, false);
+            co_await this->discardRest(connection);
         }
         co_return false;
     }
@@ -213,6 +232,18 @@
     co_return co_await this->writeResponse(connection, std::move(response), keepAlive, isHead);
 }
 
+asio::awaitable<void> IngressServer::discardRest(Connection &connection)
+{
+    boost::system::error_code error;
+    connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(this->limits.discardTimeout);
+    std::array<char, 4096> rest{};
+    while (!error) {
+        const auto [readError, length] = co_await connection.stream.async_read_some(asio::buffer(rest), awaitTuple);
+        error = readError;
+    }
+}
+
 asio::awaitable<PeerResponse> IngressServer::answer(Connection &connection, CallerRequest request)
 {
     if (request.target.starts_with(controlPrefix)) {
