Refuse requests whose length can be read in two ways

Cause: the HTTP library takes the same Content-Length twice, which another server on the path may read otherwise, and by its rules codings other than chunked count as no body, so that the bytes of the body would be read as the next request. Change: after the header, a request with more than one length or coding, with a coding other than chunked, with chunked in HTTP/1.0 or with a length that is not all digits is refused as ambiguous-length and the connection is closed. Ruled out: merging equal lengths, which RFC 9112 section 6.3 allows but does not ask for. Conclusion: the end of a request is stated in one way or the request is refused.

--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -53,6 +53,25 @@
     return ErrorKind::InvalidRequest;
 }
 
+/// Beast takes some requests whose end another server could see elsewhere: repeated lengths, and codings other than chunked,
+/// which would be read as no body (RFC 9112 sections 6.1 and 6.3).
+/// @return whether the request states the length of its body in exactly one way, or in none
+bool hasOneLength(const http::request<http::string_body> &message)
+{
+    const std::size_t lengths = message.count(http::field::content_length);
+    const std::size_t codings = message.count(http::field::transfer_encoding);
+    if (lengths + codings > 1) {
+        return false;
+    }
+    if (codings == 1) {
+        return message.version() == 11 && beast::iequals(message[http::field::transfer_encoding], "chunked");
+    }
+    const std::string_view length = message[http::field::content_length];
+    return std::ranges::all_of(length, [](char c) {
+        return c >= '0' && c <= '9';
+    });
+}
+
 /// @return whether the caller can still read a response after this error
 bool isProtocolError(const beast::error_code &error)
 {
@@ -208,6 +227,9 @@
     const auto [headerError, headerLength] = co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitTuple);
     connection.idle = false;
     beast::error_code error = headerError;
+    if (!error && !hasOneLength(parser.get())) {
+        error = http::error::bad_content_length;
+    }
     if (!error) {
         connection.stream.expires_after(this->limits.transferTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
