Take large time-outs of callers as the route's deadline

Cause: Galenarack-Timeout-Ms was converted to microseconds before it was compared, so a value near the largest number overflowed and the request failed with deadline-passed at once. Change: the comparison is in milliseconds. Ruled out: refusing large values, as a caller that has no limit may well send one. Tests: longTimeoutsAreTakenAsTheDeadlineOfTheRoute fails before and passes after. IngressServerTest comes with this commit: 24 faulty requests with status and kind, slow writer, slow reader, connection limit; after each the server still serves. Conclusion: the route's deadline stands for every larger value.

--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -147,8 +147,10 @@
         return status;
     }
     Duration allowed = course.route->deadline;
-    if (const auto timeout = course.request.headers.findNumber(timeoutField)) {
-        allowed = std::min<Duration>(allowed, std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1)));
+    const auto routeMs = std::chrono::duration_cast<std::chrono::milliseconds>(allowed).count();
+    // Compared in milliseconds, since a large value overflows in microseconds.
+    if (const auto timeout = course.request.headers.findNumber(timeoutField); timeout && *timeout < routeMs) {
+        allowed = std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1));
     }
     course.deadline = course.received + allowed;
     course.repeatable = course.route->isRepeatable(course.request.method);
--- /dev/null
+++ b/unittests/ingressservertest.cpp
@@ -0,0 +1,348 @@
+#include "asiosupport.h"
+
+#include <galenarack/ingress/ingressserver.h>
+
+#include <boost/asio/post.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <array>
+#include <thread>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t headerLimit = 4096;
+constexpr std::size_t bodyLimit = 64 * 1024;
+
+/// Without a document, a request that passes the bounds gets 503 with not-ready.
+constexpr std::string_view goodRequest = "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+constexpr std::string_view keptRequest = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// A callers' port with small bounds in a thread of its own.
+class RunningIngress
+{
+public:
+    explicit RunningIngress(IngressLimits limits, std::shared_ptr<const Document> document = nullptr)
+        : peers(
+            this->context.get_executor(),
+            this->identity,
+            PeerLimits(),
+            [] {
+                return NodeReport();
+            },
+            [](const NodeReport &) {},
+            this->paths)
+        , home(this->context.get_executor(),
+               this->identity,
+               std::span<const HomeUpstream>(),
+               UpstreamLimits(),
+               LedgerLimits(),
+               this->metrics,
+               this->audit,
+               std::mt19937_64(1))
+        , directory(this->identity, this->paths, this->metrics, this->audit, std::mt19937_64(2))
+        , forwarder(
+              this->context.get_executor(),
+              this->identity,
+              [document] {
+                  return document;
+              },
+              this->home,
+              this->peers,
+              this->directory,
+              this->metrics,
+              std::mt19937_64(3))
+        , server(this->context.get_executor(), limits, this->forwarder)
+    {
+        CPPUNIT_ASSERT(this->server.listen(anyLoopbackPort()).ok());
+        this->address = this->server.address();
+        this->thread = std::thread([this] {
+            this->context.run();
+        });
+    }
+
+    ~RunningIngress()
+    {
+        // All callers are gone by now, so the loop ends with its last connection.
+        asio::post(this->context, [this] {
+            this->server.stop();
+        });
+        this->thread.join();
+    }
+
+    tcp::endpoint address;
+
+private:
+    asio::io_context context;
+    NodeIdentity identity{"fleet", "vm-1", "kl-a", Incarnation{7}};
+    PathTable paths;
+    Metrics metrics;
+    AuditTrail audit;
+    PeerClient peers;
+    HomeNode home;
+    UpstreamDirectory directory;
+    RequestForwarder forwarder;
+    IngressServer server;
+    std::thread thread;
+};
+
+IngressLimits smallLimits()
+{
+    IngressLimits limits;
+    limits.headerBytes = headerLimit;
+    limits.bodyBytes = bodyLimit;
+    limits.discardTimeout = hangLimit;
+    return limits;
+}
+
+/// A caller with blocking calls that end after the hang limit.
+class Caller
+{
+public:
+    explicit Caller(const RunningIngress &ingress)
+        : socket(this->context)
+    {
+        this->socket.connect(ingress.address);
+        const timeval limit{hangLimit.count(), 0};
+        setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    }
+
+    /// @return whether all bytes were sent; the server may refuse before it has read them all
+    bool send(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const ssize_t sent = ::send(this->socket.native_handle(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return true;
+    }
+
+    void endSending()
+    {
+        this->socket.shutdown(tcp::socket::shutdown_send);
+    }
+
+    /// @return the bytes until the server ends the connection. Fails when the connection is reset or stays open.
+    std::string readToEnd(const std::string &name)
+    {
+        std::string received;
+        std::array<char, 4096> buffer{};
+        for (;;) {
+            const ssize_t length = ::recv(this->socket.native_handle(), buffer.data(), buffer.size(), 0);
+            CPPUNIT_ASSERT_MESSAGE(name + ": connection reset or left open after: " + received, length >= 0);
+            if (length == 0) {
+                return received;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(length));
+        }
+    }
+
+    /// @return the bytes of one response with a short body
+    std::string readOne()
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t length = ::recv(this->socket.native_handle(), buffer.data(), buffer.size(), 0);
+        return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(length, 0))};
+    }
+
+    asio::io_context context;
+    tcp::socket socket;
+};
+
+/// A document with one route to a service that has no upstream.
+std::shared_ptr<const Document> documentWithoutUpstreams()
+{
+    const auto document = std::make_shared<Document>();
+    document->services.emplace_back().name = "records";
+    RouteRow route;
+    route.prefix = "/a";
+    document->routes = RouteTable({route});
+    document->buildIndexes();
+    return document;
+}
+
+void requireResponse(const std::string &name, const std::string &response, const std::string &status, const std::string &kind)
+{
+    CPPUNIT_ASSERT_MESSAGE(name + ": " + response, response.starts_with("HTTP/1.1 " + status + " "));
+    CPPUNIT_ASSERT_MESSAGE(name + ": " + response, response.find("galenarack-error: " + kind + "\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(name + ": " + response, response.find("galenarack-execution: not-run\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(name + ": " + response, response.find("\"type\":\"urn:galenarack:error:" + kind) != std::string::npos);
+}
+
+void requireServing(const std::string &name, const RunningIngress &ingress)
+{
+    Caller caller(ingress);
+    CPPUNIT_ASSERT_MESSAGE(name, caller.send(goodRequest));
+    requireResponse(name, caller.readToEnd(name), "503", "not-ready");
+}
+
+struct Case
+{
+    std::string name;
+    std::string request;
+    std::string status; ///< Empty: the connection ends without a response.
+    std::string kind;
+    bool endsSending = false;
+};
+
+const std::vector<Case> &cases()
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\n";
+    const std::string big(4 * 1024 * 1024, 'x');
+    static const std::vector<Case> table = {
+        {"length and chunked", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400", "ambiguous-length"},
+        {"chunked and length", head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400", "ambiguous-length"},
+        {"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400", "ambiguous-length"},
+        {"one length twice", head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400", "ambiguous-length"},
+        {"length list", head + "Content-Length: 3, 3\r\n\r\nabc", "400", "ambiguous-length"},
+        {"negative length", head + "Content-Length: -3\r\n\r\nabc", "400", "ambiguous-length"},
+        {"signed length", head + "Content-Length: +3\r\n\r\nabc", "400", "ambiguous-length"},
+        {"unknown coding", head + "Transfer-Encoding: gzip\r\n\r\nabc", "400", "ambiguous-length"},
+        {"chunked is not last", head + "Transfer-Encoding: chunked, gzip\r\n\r\nabc", "400", "ambiguous-length"},
+        {"coding under chunked", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "400", "ambiguous-length"},
+        {"chunked twice", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400", "ambiguous-length"},
+        {"chunked in HTTP/1.0", "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400", "ambiguous-length"},
+        {"large field", head + "X-Large: " + big + "\r\n\r\n", "431", "header-too-large"},
+        {"large target", "GET /" + big + " HTTP/1.1\r\n\r\n", "431", "header-too-large"},
+        {"large body", head + "Content-Length: " + std::to_string(big.size()) + "\r\n\r\n" + big, "413", "body-too-large"},
+        {"large chunk", head + "Transfer-Encoding: chunked\r\n\r\n400000\r\n" + big + "\r\n0\r\n\r\n", "413", "body-too-large"},
+        {"binary", std::string("\x16\x03\x01\x00\xff\r\n\r\n", 9), "400", "invalid-request"},
+        {"no version", "GET /a\r\n\r\n", "400", "invalid-request"},
+        {"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "invalid-request"},
+        {"field without colon", head + "Broken\r\n\r\n", "400", "invalid-request"},
+        {"space before colon", head + "Content-Length : 3\r\n\r\nabc", "400", "invalid-request"},
+        {"half-closed after the request", std::string(keptRequest), "503", "not-ready", true},
+        {"half-closed within the header", "GET /a HTT", "", "", true},
+        {"half-closed within the body", head + "Content-Length: 10\r\n\r\nabc", "", "", true},
+    };
+    return table;
+}
+
+} // namespace
+
+class IngressServerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IngressServerTest);
+    CPPUNIT_TEST(faultyRequestsAreRefused);
+    CPPUNIT_TEST(slowWriterIsCutOff);
+    CPPUNIT_TEST(slowReaderIsCutOff);
+    CPPUNIT_TEST(connectionsAreBounded);
+    CPPUNIT_TEST(longTimeoutsAreTakenAsTheDeadlineOfTheRoute);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a request whose end an upstream or a proxy sees elsewhere, against a refusal that the caller cannot
+    /// read because the connection is reset, and against a caller that stops the server.
+    void faultyRequestsAreRefused()
+    {
+        const RunningIngress ingress(smallLimits());
+        for (const Case &row : cases()) {
+            Caller caller(ingress);
+            caller.send(row.request);
+            if (row.endsSending) {
+                caller.endSending();
+            }
+            const std::string response = caller.readToEnd(row.name);
+            if (row.status.empty()) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(), response);
+            } else {
+                requireResponse(row.name, response, row.status, row.kind);
+            }
+            CPPUNIT_ASSERT_MESSAGE(row.name, response.find("HTTP/1.1", 1) == std::string::npos);
+            requireServing(row.name, ingress);
+        }
+    }
+
+    /// Guards against callers that hold connections with unfinished requests.
+    void slowWriterIsCutOff()
+    {
+        IngressLimits limits = smallLimits();
+        limits.idleTimeout = 200ms;
+        limits.transferTimeout = 200ms;
+        const RunningIngress ingress(limits);
+        for (const std::string start : {"", "GET /a HT", "POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"}) {
+            Caller caller(ingress);
+            CPPUNIT_ASSERT(caller.send(start));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(start, std::string(), caller.readToEnd(start));
+        }
+        requireServing("after slow writers", ingress);
+    }
+
+    /// Guards against callers that hold connections and memory with responses which they do not read.
+    void slowReaderIsCutOff()
+    {
+        IngressLimits limits = smallLimits();
+        limits.transferTimeout = 200ms;
+        const RunningIngress ingress(limits);
+        Caller caller(ingress);
+        std::string burst;
+        for (int i = 0; i < 1000; ++i) {
+            burst += keptRequest;
+        }
+        const auto end = std::chrono::steady_clock::now() + hangLimit;
+        bool open = true;
+        while (open && std::chrono::steady_clock::now() < end) {
+            open = caller.send(burst);
+        }
+        CPPUNIT_ASSERT(!open);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() < end);
+        requireServing("after a slow reader", ingress);
+    }
+
+    /// Guards against connections without bound, and against a refused caller that is not told why.
+    void connectionsAreBounded()
+    {
+        IngressLimits limits = smallLimits();
+        limits.connections = 2;
+        const RunningIngress ingress(limits);
+        std::optional<Caller> first(std::in_place, ingress);
+        Caller second(ingress);
+        for (Caller *caller : {&*first, &second}) {
+            CPPUNIT_ASSERT(caller->send(keptRequest));
+            requireResponse("within the limit", caller->readOne(), "503", "not-ready");
+        }
+        for (int i = 0; i < 20; ++i) {
+            Caller third(ingress);
+            third.send(goodRequest);
+            const std::string response = third.readToEnd("above the limit");
+            requireResponse("above the limit", response, "503", "connection-limit");
+            CPPUNIT_ASSERT(response.find("Retry-After: 1\r\n") != std::string::npos
+                           || response.find("retry-after: 1\r\n") != std::string::npos);
+            CPPUNIT_ASSERT(response.find("Connection: close\r\n") != std::string::npos);
+        }
+        CPPUNIT_ASSERT(second.send(keptRequest));
+        requireResponse("kept", second.readOne(), "503", "not-ready");
+        first.reset();
+        std::string response;
+        const auto end = std::chrono::steady_clock::now() + hangLimit;
+        while (response.find("not-ready") == std::string::npos && std::chrono::steady_clock::now() < end) {
+            Caller next(ingress);
+            next.send(goodRequest);
+            response = next.readToEnd("after one left");
+        }
+        requireResponse("after one left", response, "503", "not-ready");
+    }
+
+    /// Guards against a time-out that overflows, so that the deadline lies in the past.
+    void longTimeoutsAreTakenAsTheDeadlineOfTheRoute()
+    {
+        const RunningIngress ingress(smallLimits(), documentWithoutUpstreams());
+        for (const std::string timeout : {"60000", "9223372036854775", "9223372036854775807"}) {
+            Caller caller(ingress);
+            caller.send("GET /a HTTP/1.1\r\nConnection: close\r\nGalenarack-Timeout-Ms: " + timeout + "\r\n\r\n");
+            requireResponse(timeout, caller.readToEnd(timeout), "503", "no-upstream");
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(IngressServerTest);
