--- a/unittests/errorkindtest.cpp
+++ b/unittests/errorkindtest.cpp
@@ -4,10 +4,29 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <set>
+#include <vector>
 
 using namespace Galenarack;
 
+namespace {
+
+/// @return the trimmed cells of a table row of a page
+std::vector<std::string> cellsOf(const std::string &line)
+{
+    std::vector<std::string> cells;
+    std::size_t start = 1;
+    for (std::size_t end = 0; (end = line.find('|', start)) != std::string::npos; start = end + 1) {
+        const std::string cell = line.substr(start, end - start);
+        const std::size_t first = cell.find_first_not_of(' ');
+        cells.push_back(first == std::string::npos ? std::string() : cell.substr(first, cell.find_last_not_of(' ') - first + 1));
+    }
+    return cells;
+}
+
+} // namespace
+
 class ErrorKindTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ErrorKindTest);
@@ -15,6 +34,7 @@
     CPPUNIT_TEST(statusCarriesKind);
     CPPUNIT_TEST(problemBodyNamesExecution);
     CPPUNIT_TEST(idsRejectMalformedText);
+    CPPUNIT_TEST(callersPageListsEveryKind);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,6 +78,26 @@
             CPPUNIT_ASSERT(!RequestId::fromString(text));
         }
     }
+
+    /// Guards against a callers' page that lacks a kind, or states another status or execution than the code.
+    void callersPageListsEveryKind()
+    {
+        std::ifstream page(GALENARACK_SOURCE_DIR "/docs/callers.md");
+        CPPUNIT_ASSERT(page.is_open());
+        std::string line;
+        while (std::getline(page, line) && !line.starts_with("| kind |")) { }
+        std::getline(page, line);
+        for (const ErrorRow &row : errorTable()) {
+            CPPUNIT_ASSERT(std::getline(page, line));
+            const std::vector<std::string> cells = cellsOf(line);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::size_t{4}, cells.size());
+            CPPUNIT_ASSERT_EQUAL("`" + std::string(row.name) + "`", cells[0]);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::to_string(row.httpStatus), cells[1]);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::string(executionName(row.execution)), cells[2]);
+            CPPUNIT_ASSERT_MESSAGE(line, !cells[3].empty());
+        }
+        CPPUNIT_ASSERT_MESSAGE(line, !std::getline(page, line) || !line.starts_with("|"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ErrorKindTest);
