--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/url/parse.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace Galenarack {
 
@@ -23,6 +24,9 @@
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view controlPrefix = "/.galenarack/";
 constexpr std::string_view keysPath = "/.galenarack/keys";
+
+/// Connections above the limit that are told so at the same time; others are closed without a response.
+constexpr std::size_t maxRefusedConnections = 64;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 std::string toLower(std::string_view text)
@@ -49,6 +53,25 @@
     return ErrorKind::InvalidRequest;
 }
 
+/// Beast takes some requests whose end another server could see elsewhere: repeated lengths, and codings other than chunked,
+/// which would be read as no body (RFC 9112 sections 6.1 and 6.3).
+/// @return whether the request states the length of its body in exactly one way, or in none
+bool hasOneLength(const http::request<http::string_body> &message)
+{
+    const std::size_t lengths = message.count(http::field::content_length);
+    const std::size_t codings = message.count(http::field::transfer_encoding);
+    if (lengths + codings > 1) {
+        return false;
+    }
+    if (codings == 1) {
+        return message.version() == 11 && beast::iequals(message[http::field::transfer_encoding], "chunked");
+    }
+    const std::string_view length = message[http::field::content_length];
+    return std::ranges::all_of(length, [](char c) {
+        return c >= '0' && c <= '9';
+    });
+}
+
 /// @return whether the caller can still read a response after this error
 bool isProtocolError(const beast::error_code &error)
 {
@@ -122,6 +145,12 @@
     return absl::OkStatus();
 }
 
+asio::ip::tcp::endpoint IngressServer::address() const
+{
+    boost::system::error_code ignored;
+    return this->acceptor.local_endpoint(ignored);
+}
+
 void IngressServer::drain()
 {
     this->draining = true;
@@ -166,7 +195,15 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     Connection connection{beast::tcp_stream(std::move(socket)), beast::flat_buffer(this->limits.headerBytes + this->limits.bodyBytes)};
     if (this->connections >= this->limits.connections) {
+        if (this->refusedConnections >= maxRefusedConnections) {
+            co_return;
+        }
+        ++this->refusedConnections;
+        const ScopeGuard refused([this] {
+            --this->refusedConnections;
+        });
         co_await this->writeResponse(connection, problemResponse(ErrorKind::ConnectionLimit, "", ""), false, false);
+        co_await this->discardRest(connection);
         co_return;
     }
     ++this->connections;
@@ -190,6 +227,9 @@
     const auto [headerError, headerLength] = co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitTuple);
     connection.idle = false;
     beast::error_code error = headerError;
+    if (!error && !hasOneLength(parser.get())) {
+        error = http::error::bad_content_length;
+    }
     if (!error) {
         connection.stream.expires_after(this->limits.transferTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -204,6 +244,7 @@
             const ErrorKind kind = kindOfReadError(error);
             this->log.warn("request refused", {{"error_kind", errorRow(kind).name}, {"detail", error.message()}});
             co_await this->writeResponse(connection, problemResponse(kind, error.message(), ""), false, false);
+            co_await this->discardRest(connection);
         }
         co_return false;
     }
@@ -213,6 +254,18 @@
     co_return co_await this->writeResponse(connection, std::move(response), keepAlive, isHead);
 }
 
+asio::awaitable<void> IngressServer::discardRest(Connection &connection)
+{
+    boost::system::error_code error;
+    connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(this->limits.discardTimeout);
+    std::array<char, 4096> rest{};
+    while (!error) {
+        const auto [readError, length] = co_await connection.stream.async_read_some(asio::buffer(rest), awaitTuple);
+        error = readError;
+    }
+}
+
 asio::awaitable<PeerResponse> IngressServer::answer(Connection &connection, CallerRequest request)
 {
     if (request.target.starts_with(controlPrefix)) {
