--- a/galenarack/health/reporttable.cpp
+++ b/galenarack/health/reporttable.cpp
@@ -25,6 +25,7 @@
     ReportTable next;
     next.failureDomains = this->failureDomains;
     for (const ServiceRow &service : document.services) {
+        next.serviceByName.emplace(service.name, static_cast<std::uint32_t>(next.services.size()));
         next.services.emplace_back();
         next.services.back().name = service.name;
         next.services.back().floor = service.floor;
@@ -43,7 +44,10 @@
         row.failureDomain = next.failureDomainIndex(upstream.failureDomain);
         row.rule = upstream.rule;
         row.slots = upstream.slots;
-        next.services[upstream.service].rows.push_back(static_cast<std::uint32_t>(next.rows.size()));
+        const auto index = static_cast<std::uint32_t>(next.rows.size());
+        next.rowByName.emplace(row.name, index);
+        next.rowsByVm[row.vm].push_back(index);
+        next.services[upstream.service].rows.push_back(index);
         next.rows.push_back(std::move(row));
     }
     *this = std::move(next);
@@ -61,13 +65,12 @@
 
 std::optional<std::uint32_t> ReportTable::find(std::string_view name) const
 {
-    const auto found = std::find_if(this->rows.begin(), this->rows.end(), [name](const ReportRow &row) {
-        return row.name == name;
-    });
-    if (found == this->rows.end()) {
-        return std::nullopt;
-    }
-    return static_cast<std::uint32_t>(found - this->rows.begin());
+    return findIndex(this->rowByName, name);
+}
+
+std::optional<std::uint32_t> ReportTable::findService(std::string_view name) const
+{
+    return findIndex(this->serviceByName, name);
 }
 
 void ReportTable::report(std::uint32_t index, const UpstreamReport &report, TimePoint now)
@@ -108,8 +111,14 @@
 
 void ReportTable::setMembership(std::string_view vm, bool leaving, bool gone)
 {
-    for (ReportRow &row : this->rows) {
-        if (row.vm == vm) {
+    const auto found = this->rowsByVm.find(vm);
+    if (found == this->rowsByVm.end()) {
+        return;
+    }
+    for (const std::uint32_t index : found->second) {
+        ReportRow &row = this->rows[index];
+        // An unchanged state must not have the floor of the service decided again.
+        if (row.leaving != leaving || row.gone != gone) {
             row.leaving = leaving;
             row.gone = gone;
             this->services[row.service].changed = true;
--- a/galenarack/health/reporttable.h
+++ b/galenarack/health/reporttable.h
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/clock.h>
 #include <galenarack/document/document.h>
+#include <galenarack/document/nameindex.h>
 #include <galenarack/health/upstreamreport.h>
 
 #include <array>
@@ -96,6 +97,9 @@
     /// @return the row of the upstream, or nothing; indexes change with configure()
     std::optional<std::uint32_t> find(std::string_view name) const;
 
+    /// @return the index of the service, or nothing; indexes change with configure()
+    std::optional<std::uint32_t> findService(std::string_view name) const;
+
     /// A report came from the home, on a response or a heartbeat.
     void report(std::uint32_t row, const UpstreamReport &report, TimePoint now);
 
@@ -123,6 +127,9 @@
     void noteChange(const ReportRow &row, const UpstreamReport &next);
     std::uint32_t failureDomainIndex(std::string_view name);
 
+    NameIndex rowByName;
+    NameIndex serviceByName;
+    NameMap<std::vector<std::uint32_t>> rowsByVm;
     mutable std::vector<float> scratch; ///< Keeps medianLatency() free of allocation.
 };
 
--- a/galenarack/ingress/upstreamdirectory.cpp
+++ b/galenarack/ingress/upstreamdirectory.cpp
@@ -103,19 +103,10 @@
     this->metrics.countFloorHit(service.name);
 }
 
-std::optional<std::uint32_t> UpstreamDirectory::findService(std::string_view name) const
-{
-    const auto service = std::ranges::find(this->reports.services, name, &ServiceReports::name);
-    if (service == this->reports.services.end()) {
-        return std::nullopt;
-    }
-    return static_cast<std::uint32_t>(service - this->reports.services.begin());
-}
-
 std::optional<UpstreamDirectory::Choice> UpstreamDirectory::select(
     std::string_view service, bool repeatable, std::string_view vm, const std::set<std::string> &tried, TimePoint now)
 {
-    const auto index = this->findService(service);
+    const auto index = this->reports.findService(service);
     if (!index) {
         return std::nullopt;
     }
@@ -167,7 +158,7 @@
 
 Duration UpstreamDirectory::medianLatency(std::string_view service, std::uint32_t routeClass, TimePoint now) const
 {
-    const auto index = this->findService(service);
+    const auto index = this->reports.findService(service);
     return index ? this->reports.medianLatency(*index, routeClassOf(routeClass), now) : Duration::zero();
 }
 
--- a/galenarack/ingress/upstreamdirectory.h
+++ b/galenarack/ingress/upstreamdirectory.h
@@ -66,7 +66,6 @@
     std::vector<UpstreamStatus> status() const;
 
 private:
-    std::optional<std::uint32_t> findService(std::string_view name) const;
     std::optional<Choice> selectOnVm(std::uint32_t service, std::string_view vm, const std::set<std::string> &tried, TimePoint now);
     Choice take(std::uint32_t row, bool insist);
     void applyMarks(const std::string &vm, std::span<const UpstreamMark> marks, TimePoint now);
--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -30,7 +30,7 @@
 constexpr Duration pauseThreshold = std::chrono::milliseconds(1000);
 
 /// Heartbeats of a node are sent one connection after the other at this pace, so their cost does not grow with the fleet.
-constexpr Duration heartbeatPace = std::chrono::milliseconds(250);
+constexpr Duration heartbeatPace = std::chrono::seconds(1);
 
 constexpr Duration heartbeatTimeout = std::chrono::milliseconds(1500);
 
--- a/galenarack/peer/peercontrol.cpp
+++ b/galenarack/peer/peercontrol.cpp
@@ -10,35 +10,39 @@
 
 namespace {
 
+/// A report is an array in this order, because field names would be most of the bytes of a heartbeat.
 nlohmann::json toJson(const NamedUpstreamReport &named)
 {
     const UpstreamReport &report = named.report;
-    return {{"name", named.upstream},
-            {"verdict", verdictName(report.verdict)},
-            {"cause", causeName(report.cause)},
-            {"severity", report.severity},
-            {"weight", report.weight},
-            {"in_flight", report.inFlight},
-            {"queued", report.queued},
-            {"slots", report.slots},
-            {"route_class", report.routeClass},
-            {"latency_us", report.latency.count()}};
+    return nlohmann::json::array({named.upstream,
+                                  static_cast<unsigned>(report.verdict),
+                                  static_cast<unsigned>(report.cause),
+                                  report.severity,
+                                  report.weight,
+                                  report.inFlight,
+                                  report.queued,
+                                  report.slots,
+                                  report.routeClass,
+                                  report.latency.count()});
 }
 
 NamedUpstreamReport upstreamFromJson(const nlohmann::json &json)
 {
     NamedUpstreamReport named;
     UpstreamReport &report = named.report;
-    json.at("name").get_to(named.upstream);
-    report.verdict = verdictFromName(json.at("verdict").get<std::string>()).value_or(HomeVerdict::Serving);
-    report.cause = causeFromName(json.at("cause").get<std::string>()).value_or(HealthCause::None);
-    json.at("severity").get_to(report.severity);
-    json.at("weight").get_to(report.weight);
-    json.at("in_flight").get_to(report.inFlight);
-    json.at("queued").get_to(report.queued);
-    json.at("slots").get_to(report.slots);
-    json.at("route_class").get_to(report.routeClass);
-    report.latency = Duration(json.at("latency_us").get<std::int64_t>());
+    json.at(0).get_to(named.upstream);
+    const auto verdict = json.at(1).get<unsigned>();
+    const auto cause = json.at(2).get<unsigned>();
+    // An unknown value reads as healthy, so that a fault of one node ejects nothing at others.
+    report.verdict = verdict <= static_cast<unsigned>(HomeVerdict::Leaving) ? static_cast<HomeVerdict>(verdict) : HomeVerdict::Serving;
+    report.cause = cause <= static_cast<unsigned>(HealthCause::Rule) ? static_cast<HealthCause>(cause) : HealthCause::None;
+    json.at(3).get_to(report.severity);
+    json.at(4).get_to(report.weight);
+    json.at(5).get_to(report.inFlight);
+    json.at(6).get_to(report.queued);
+    json.at(7).get_to(report.slots);
+    json.at(8).get_to(report.routeClass);
+    report.latency = Duration(json.at(9).get<std::int64_t>());
     return named;
 }
 
