Let the last upstream of a service queue a request

Cause: the first two attempts ask the home to refuse when no slot is free; a service with one or two upstreams had none left for the attempt that may wait, so a moment of full slots became no-upstream. Ruled out: queueing at the first attempt, which gives up the refusal that finds a free slot elsewhere for one round trip.

--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -113,7 +113,7 @@
     bool idle = false; ///< Between two requests.
 };
 
-IngressServer::IngressServer(asio::any_io_executor executor, IngressLimits limits, RequestForwarder &forwarder)
+IngressServer::IngressServer(const asio::any_io_executor &executor, IngressLimits limits, RequestForwarder &forwarder)
     : executor(executor)
     , limits(limits)
     , forwarder(forwarder)
--- a/galenarack/ingress/ingressserver.h
+++ b/galenarack/ingress/ingressserver.h
@@ -31,7 +31,7 @@
 class IngressServer
 {
 public:
-    IngressServer(boost::asio::any_io_executor executor, IngressLimits limits, RequestForwarder &forwarder);
+    IngressServer(const boost::asio::any_io_executor &executor, IngressLimits limits, RequestForwarder &forwarder);
 
     /// Binds and starts to accept.
     /// @return SettingInvalid when the address cannot be bound
--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -229,7 +229,13 @@
 
 asio::awaitable<AttemptEvent::Any> RequestForwarder::attempt(Course &course, unsigned number)
 {
-    const auto choice = this->chooseUpstream(course);
+    auto choice = this->chooseUpstream(course);
+    if (!choice && !course.tried.empty()) {
+        // Every upstream was tried, so one of them gets the request once more and may queue it.
+        course.tried.clear();
+        course.mayQueue = true;
+        choice = this->chooseUpstream(course);
+    }
     if (!choice) {
         course.detail = "no upstream of service " + this->serviceOf(course) + " can be reached";
         co_return AttemptEvent::NotSent{ErrorKind::NoUpstream};
@@ -270,7 +276,7 @@
         }
     }
     ForwardMeta meta = this->makeMeta(course);
-    meta.mayQueue = number >= attemptThatQueues || course.key.has_value();
+    meta.mayQueue = number >= attemptThatQueues || course.mayQueue || course.key.has_value();
     meta.appendTo(request.headers);
     return request;
 }
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -81,6 +81,7 @@
         TimePoint received; ///< Surely not after the receipt, also when this process was paused meanwhile.
         TimePoint deadline;
         std::shared_ptr<Cancellation> cancellation;
+        bool mayQueue = false; ///< The next attempt may wait for a slot.
         std::set<std::string> tried; ///< Upstreams of earlier attempts.
         RequestId id; ///< Of the last attempt.
         UpstreamDirectory::Choice choice; ///< Of the last attempt.
--- a/galenarack/node/configfollower.cpp
+++ b/galenarack/node/configfollower.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-ConfigFollower::ConfigFollower(asio::any_io_executor executor,
+ConfigFollower::ConfigFollower(const asio::any_io_executor &executor,
                                NodeIdentity identity,
                                const ServiceSettings &service,
                                PeerClient &peers,
@@ -188,7 +188,7 @@
     if (!manifest.ok()) {
         co_return;
     }
-    this->reader->offerFromPeer(vm, std::move(*manifest), [this, vm](std::string digest) {
+    this->reader->offerFromPeer(vm, std::move(*manifest), [this, vm](const std::string &digest) {
         return this->fetchValue(vm, std::string(PeerPath::section) + digest);
     });
 }
--- a/galenarack/node/configfollower.h
+++ b/galenarack/node/configfollower.h
@@ -36,7 +36,7 @@
 
     /// @param service address and times of the configuration service
     /// @param seed of the random source for jitter
-    ConfigFollower(boost::asio::any_io_executor executor,
+    ConfigFollower(const boost::asio::any_io_executor &executor,
                    NodeIdentity identity,
                    const ServiceSettings &service,
                    PeerClient &peers,
--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace Galenarack {
@@ -293,7 +294,7 @@
             asio::co_spawn(
                 this->executor,
                 [this, link, now]() -> asio::awaitable<void> {
-                    co_await this->ensureConnected(link, now + connectTimeout);
+                    std::ignore = co_await this->ensureConnected(link, now + connectTimeout);
                 },
                 asio::detached);
             return;
--- a/processtests/executiontest.cpp
+++ b/processtests/executiontest.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(ExecutionTest);
     CPPUNIT_TEST(requestThroughAnotherNode);
+    CPPUNIT_TEST(onlyUpstreamQueuesRequests);
     CPPUNIT_TEST(killedHomeRunsKeyedWorkAtMostOnce);
     CPPUNIT_TEST(frozenHomeDoesNotRunExpiredWork);
     CPPUNIT_TEST_SUITE_END();
@@ -70,6 +71,21 @@
         }
     }
 
+    /// Guards against a request that fails because its service has one upstream, whose slots are all in use for a moment.
+    void onlyUpstreamQueuesRequests()
+    {
+        FleetFixture fleet;
+        fleet.setUpstream("all", R"({"base_delay_ms": 100})");
+        BackgroundLoad load({"--targets=" + fleet.callerAddress(0),
+                             "--path=/single-1",
+                             "--rate=20",
+                             "--duration_s=3",
+                             "--account=charity"},
+                            "/dev/null");
+        const nlohmann::json report = load.report(30s);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), report["requests"].get<int>(), report["ok"].get<int>());
+    }
+
     /// Guards against work that runs twice because its home died and the caller sent it again (P4), and against
     /// "not run" about work that ran (P3).
     void killedHomeRunsKeyedWorkAtMostOnce()
