Follow the linter in the ingress and its tests

Cause: clang-tidy reported one parameter of IngressServer and three in new tests as copied needlessly. Change: move or reference them. Ruled out: suppressing the checks. Conclusion: no change of behaviour.

--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -114,10 +114,10 @@
 };
 
 IngressServer::IngressServer(asio::any_io_executor executor, IngressLimits limits, RequestForwarder &forwarder)
-    : executor(executor)
+    : executor(std::move(executor))
     , limits(limits)
     , forwarder(forwarder)
-    , acceptor(executor)
+    , acceptor(this->executor)
     , log("ingress")
 {
 }
--- a/unittests/ingressservertest.cpp
+++ b/unittests/ingressservertest.cpp
@@ -29,7 +29,7 @@
 class RunningIngress
 {
 public:
-    explicit RunningIngress(IngressLimits limits, std::shared_ptr<const Document> document = nullptr)
+    explicit RunningIngress(IngressLimits limits, const std::shared_ptr<const Document> &document = nullptr)
         : peers(
             this->context.get_executor(),
             this->identity,
@@ -140,7 +140,7 @@
         std::array<char, 4096> buffer{};
         for (;;) {
             const ssize_t length = ::recv(this->socket.native_handle(), buffer.data(), buffer.size(), 0);
-            CPPUNIT_ASSERT_MESSAGE(name + ": connection reset or left open after: " + received, length >= 0);
+            CPPUNIT_ASSERT_MESSAGE(std::string(name).append(": connection reset or left open after: ").append(received), length >= 0);
             if (length == 0) {
                 return received;
             }
--- a/unittests/slotadmissiontest.cpp
+++ b/unittests/slotadmissiontest.cpp
@@ -39,7 +39,7 @@
     {
     }
 
-    Request &start(Wish wish)
+    Request &start(const Wish &wish)
     {
         Request &request = this->requests.emplace_back();
         auto task = [](SlotAdmission &admission, Request &request, Wish wish) -> asio::awaitable<void> {
