--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -113,11 +113,11 @@
     bool idle = false; ///< Between two requests.
 };
 
-IngressServer::IngressServer(const asio::any_io_executor &executor, IngressLimits limits, RequestForwarder &forwarder)
-    : executor(executor)
+IngressServer::IngressServer(asio::any_io_executor executor, IngressLimits limits, RequestForwarder &forwarder)
+    : executor(std::move(executor))
     , limits(limits)
     , forwarder(forwarder)
-    , acceptor(executor)
+    , acceptor(this->executor)
     , log("ingress")
 {
 }
--- a/processtests/executiontest.cpp
+++ b/processtests/executiontest.cpp
@@ -74,13 +74,11 @@
     /// Guards against a request that fails because its service has one upstream, whose slots are all in use for a moment.
     void onlyUpstreamQueuesRequests()
     {
-        FleetFixture fleet;
-        fleet.setUpstream("all", R"({"base_delay_ms": 100})");
-        BackgroundLoad load({"--targets=" + fleet.callerAddress(0),
-                             "--path=/single-1",
-                             "--rate=20",
-                             "--duration_s=3",
-                             "--account=charity"},
+        FleetOptions options;
+        options.slots = 2;
+        options.upstreamSettings = R"({"base_delay_ms": 100, "slots": 2})";
+        FleetFixture fleet(options);
+        BackgroundLoad load({"--targets=" + fleet.callerAddress(0), "--path=/single-1", "--rate=20", "--duration_s=3", "--account=charity"},
                             "/dev/null");
         const nlohmann::json report = load.report(30s);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), report["requests"].get<int>(), report["ok"].get<int>());
