Tell the path table of PING replies

Cause: processtests.partitiontest failed under load (46 of 79 requests of an untouched path answered, the rest no-upstream). The path table was told of each PING and never of its reply, so a path on which one PING had been needed counted as silent from then on. Change: PeerSession keeps the last PING reply, PeerClient passes it on; unittests.peersessiontest has the case. Ruled out: membership (no node was gone at the ingress concerned) and an ejection (no record in the audit trail of the home).

--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -62,6 +62,7 @@
     std::optional<PeerView> view;
     std::uint32_t path = 0; ///< Row in the PathTable.
     TimePoint pingReported; ///< PING that the PathTable knows of.
+    TimePoint pingReplyReported; ///< PING reply that the PathTable knows of.
     TimePoint heardReported; ///< Last byte that the PathTable knows of.
     bool connecting = false;
     bool heartbeatPending = false;
@@ -273,6 +274,11 @@
         link.heardReported = session.lastReceived();
         this->paths.heard(link.path, now);
     }
+    const auto &reply = session.lastPingReply();
+    if (reply && reply->received > link.pingReplyReported) {
+        link.pingReplyReported = reply->received;
+        this->paths.pingAnswered(link.path, reply->roundTrip, now);
+    }
     const auto ping = session.unansweredPing();
     if (ping && *ping > link.pingReported) {
         link.pingReported = *ping;
--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -469,6 +469,11 @@
 int PeerSession::onFrame(nghttp2_session *, const nghttp2_frame *frame, void *user)
 {
     auto &self = *static_cast<PeerSession *>(user);
+    if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
+        const TimePoint now = NodeClock::now();
+        self.pingReply = PingReply{now, now - self.pingSent};
+        return 0;
+    }
     if (frame->hd.type == NGHTTP2_GOAWAY) {
         self.peerIsLeaving = true;
         return 0;
--- a/galenarack/peer/peersession.h
+++ b/galenarack/peer/peersession.h
@@ -106,6 +106,19 @@
         return this->pingOutstanding ? std::optional(this->pingSent) : std::nullopt;
     }
 
+    /// A PING that the peer replied to.
+    struct PingReply
+    {
+        TimePoint received;
+        Duration roundTrip;
+    };
+
+    /// @return the last PING reply, if any
+    const std::optional<PingReply> &lastPingReply() const
+    {
+        return this->pingReply;
+    }
+
     /// @return time of the last byte from the peer
     TimePoint lastReceived() const
     {
@@ -164,6 +177,7 @@
     bool writing = false;
     bool pingOutstanding = false;
     TimePoint pingSent;
+    std::optional<PingReply> pingReply;
     TimePoint lastReceive;
 };
 
--- a/unittests/peersessiontest.cpp
+++ b/unittests/peersessiontest.cpp
@@ -124,6 +124,7 @@
     CPPUNIT_TEST(goAwayRefusesNewRequests);
     CPPUNIT_TEST(silentPeerIsFoundInTime);
     CPPUNIT_TEST(silenceDuringOwnPauseProvesNothing);
+    CPPUNIT_TEST(pingReplyIsReported);
     CPPUNIT_TEST(endedRequestResetsTheStream);
     CPPUNIT_TEST(closedConnectionIsPeerLost);
     CPPUNIT_TEST(garbageClosesTheConnection);
@@ -235,6 +236,21 @@
         CPPUNIT_ASSERT(!pair.client->isOpen());
     }
 
+    /// Guards against a path that counts as silent although its PING was answered.
+    void pingReplyIsReported()
+    {
+        Pair pair;
+        pair.startServer();
+        pair.start(requestOf("/hold"));
+        runFor(pair.context, 20ms);
+        pair.client->checkLiveness(pair.client->lastReceived() + 600ms, false);
+        CPPUNIT_ASSERT(pair.client->unansweredPing());
+        CPPUNIT_ASSERT(!pair.client->lastPingReply());
+        runFor(pair.context, 50ms);
+        CPPUNIT_ASSERT(!pair.client->unansweredPing());
+        CPPUNIT_ASSERT(pair.client->lastPingReply());
+    }
+
     /// Guards against work that goes on for nobody after the caller left or the deadline passed.
     void endedRequestResetsTheStream()
     {
