--- /dev/null
+++ b/galenarack/core/listener.cpp
@@ -0,0 +1,85 @@
+#include <galenarack/core/listener.h>
+
+#include <galenarack/core/errorkind.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <string>
+#include <utility>
+
+namespace Galenarack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Wait after a failed accept, for example when file descriptors are used up.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+Listener::Listener(const asio::any_io_executor &executor, Accepted accepted)
+    : acceptor(executor)
+    , accepted(std::move(accepted))
+{
+}
+
+absl::Status Listener::listen(const asio::ip::tcp::endpoint &address, std::string_view setting)
+{
+    boost::system::error_code error;
+    this->acceptor.open(address.protocol(), error);
+    if (!error) {
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        this->acceptor.bind(address, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::SettingInvalid, std::string(setting) + " cannot be bound: " + error.message());
+    }
+    asio::co_spawn(
+        this->acceptor.get_executor(),
+        [this]() -> asio::awaitable<void> {
+            co_await this->acceptLoop();
+        },
+        asio::detached);
+    return absl::OkStatus();
+}
+
+void Listener::stop()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+asio::ip::tcp::endpoint Listener::address() const
+{
+    boost::system::error_code ignored;
+    return this->acceptor.local_endpoint(ignored);
+}
+
+asio::awaitable<void> Listener::acceptLoop()
+{
+    asio::steady_timer timer(this->acceptor.get_executor());
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(awaitTuple);
+        if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            timer.expires_after(acceptRetryDelay);
+            co_await timer.async_wait(awaitTuple);
+            continue;
+        }
+        this->accepted(std::move(socket));
+    }
+}
+
+} // namespace Galenarack
--- a/galenarack/document/document.h
+++ b/galenarack/document/document.h
@@ -20,7 +20,7 @@
     Authority, ///< False ejections first.
 };
 
-/// What operators decided about an upstream; goes before the judgement, but not below the floor.
+/// What operators decided about an upstream. It takes precedence over the judgement, but not below the floor.
 enum class UpstreamRule : std::uint8_t {
     Judge, ///< The home judges by traffic.
     Trust, ///< Never ejected.
--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/scopeguard.h>
+#include <galenarack/core/text.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,15 +36,6 @@
     return std::ranges::find(hopByHopFields, name) != hopByHopFields.end();
 }
 
-std::string toLower(std::string_view text)
-{
-    std::string lower(text);
-    std::ranges::transform(lower, lower.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return lower;
-}
-
 http::request<http::string_body> toBeast(const PeerRequest &request, const asio::ip::tcp::endpoint &address)
 {
     http::request<http::string_body> message;
@@ -68,7 +60,7 @@
     PeerResponse response;
     response.status = message.result_int();
     for (const auto &field : message) {
-        std::string name = toLower(std::string_view(field.name_string().data(), field.name_string().size()));
+        std::string name = toLowerAscii(std::string_view(field.name_string().data(), field.name_string().size()));
         if (!isHopByHop(name)) {
             response.headers.add(name, std::string_view(field.value().data(), field.value().size()));
         }
--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/scopeguard.h>
+#include <galenarack/core/text.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -27,16 +28,6 @@
 
 /// Connections above the limit that are told so at the same time; others are closed without a response.
 constexpr std::size_t maxRefusedConnections = 64;
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-
-std::string toLower(std::string_view text)
-{
-    std::string lower(text);
-    std::ranges::transform(lower, lower.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return lower;
-}
 
 ErrorKind kindOfReadError(const beast::error_code &error)
 {
@@ -85,7 +76,7 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message) {
-        request.headers.add(toLower(field.name_string()), field.value());
+        request.headers.add(toLowerAscii(field.name_string()), field.value());
     }
     request.body = std::move(message.body());
     return request;
@@ -117,38 +108,22 @@
     : executor(std::move(executor))
     , limits(limits)
     , forwarder(forwarder)
-    , acceptor(this->executor)
+    , listener(this->executor,
+               [this](asio::ip::tcp::socket socket) {
+                   this->accept(std::move(socket));
+               })
     , log("ingress")
 {
 }
 
 absl::Status IngressServer::listen(const asio::ip::tcp::endpoint &address)
 {
-    boost::system::error_code error;
-    this->acceptor.open(address.protocol(), error);
-    if (!error) {
-        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-        this->acceptor.bind(address, error);
-    }
-    if (!error) {
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return makeError(ErrorKind::SettingInvalid, "caller_address cannot be bound: " + error.message());
-    }
-    asio::co_spawn(
-        this->executor,
-        [this]() -> asio::awaitable<void> {
-            co_await this->acceptLoop();
-        },
-        asio::detached);
-    return absl::OkStatus();
+    return this->listener.listen(address, "caller_address");
 }
 
 asio::ip::tcp::endpoint IngressServer::address() const
 {
-    boost::system::error_code ignored;
-    return this->acceptor.local_endpoint(ignored);
+    return this->listener.address();
 }
 
 void IngressServer::drain()
@@ -158,8 +133,7 @@
 
 void IngressServer::stop()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    this->listener.stop();
     for (Connection *connection : this->open) {
         if (connection->idle) {
             connection->stream.close();
@@ -167,26 +141,14 @@
     }
 }
 
-asio::awaitable<void> IngressServer::acceptLoop()
+void IngressServer::accept(asio::ip::tcp::socket socket)
 {
-    asio::steady_timer timer(this->executor);
-    for (;;) {
-        auto [error, socket] = co_await this->acceptor.async_accept(awaitTuple);
-        if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
-            co_return;
-        }
-        if (error) {
-            timer.expires_after(acceptRetryDelay);
-            co_await timer.async_wait(awaitTuple);
-            continue;
-        }
-        asio::co_spawn(
-            this->executor,
-            [this, accepted = std::move(socket)]() mutable -> asio::awaitable<void> {
-                co_await this->serve(std::move(accepted));
-            },
-            asio::detached);
-    }
+    asio::co_spawn(
+        this->executor,
+        [this, accepted = std::move(socket)]() mutable -> asio::awaitable<void> {
+            co_await this->serve(std::move(accepted));
+        },
+        asio::detached);
 }
 
 asio::awaitable<void> IngressServer::serve(asio::ip::tcp::socket socket)
--- a/galenarack/ingress/ingressserver.h
+++ b/galenarack/ingress/ingressserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/core/listener.h>
 #include <galenarack/core/log.h>
 #include <galenarack/ingress/requestforwarder.h>
 
@@ -56,7 +57,7 @@
 private:
     struct Connection;
 
-    boost::asio::awaitable<void> acceptLoop();
+    void accept(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<bool> serveRequest(Connection &connection);
     boost::asio::awaitable<PeerResponse> answer(Connection &connection, CallerRequest request);
@@ -68,7 +69,7 @@
     boost::asio::any_io_executor executor;
     IngressLimits limits;
     RequestForwarder &forwarder;
-    boost::asio::ip::tcp::acceptor acceptor;
+    Listener listener;
     std::list<Connection *> open;
     std::size_t connections = 0;
     std::size_t refusedConnections = 0; ///< Above the limit, being told so.
--- a/galenarack/peer/peerserver.cpp
+++ b/galenarack/peer/peerserver.cpp
@@ -3,21 +3,12 @@
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/scopeguard.h>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace Galenarack {
 
 namespace asio = boost::asio;
 
 namespace {
 
-/// Wait after a failed accept, for example when file descriptors are used up.
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-
 PeerResponse errorResponse(unsigned status, ErrorKind kind)
 {
     PeerResponse response;
@@ -28,46 +19,30 @@
 
 } // namespace
 
-PeerServer::PeerServer(asio::any_io_executor executor,
+PeerServer::PeerServer(const asio::any_io_executor &executor,
                        NodeIdentity identity,
                        PeerLimits limits,
                        std::size_t connectionLimit,
                        std::function<NodeReport()> ownReport,
                        std::function<void(const NodeReport &)> helloReceived,
                        PeerHandler handler)
-    : executor(executor)
-    , identity(std::move(identity))
+    : identity(std::move(identity))
     , limits(limits)
     , connectionLimit(connectionLimit)
     , ownReport(std::move(ownReport))
     , helloReceived(std::move(helloReceived))
     , handler(std::move(handler))
-    , acceptor(executor)
+    , listener(executor,
+               [this](asio::ip::tcp::socket socket) {
+                   this->accept(std::move(socket));
+               })
     , log("peer")
 {
 }
 
 absl::Status PeerServer::listen(const asio::ip::tcp::endpoint &address)
 {
-    boost::system::error_code error;
-    this->acceptor.open(address.protocol(), error);
-    if (!error) {
-        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-        this->acceptor.bind(address, error);
-    }
-    if (!error) {
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return makeError(ErrorKind::SettingInvalid, "peer_address cannot be bound: " + error.message());
-    }
-    asio::co_spawn(
-        this->executor,
-        [this]() -> asio::awaitable<void> {
-            co_await this->acceptLoop();
-        },
-        asio::detached);
-    return absl::OkStatus();
+    return this->listener.listen(address, "peer_address");
 }
 
 void PeerServer::drain()
@@ -84,23 +59,6 @@
     return this->requestsInProgress;
 }
 
-asio::awaitable<void> PeerServer::acceptLoop()
-{
-    asio::steady_timer timer(this->executor);
-    for (;;) {
-        auto [error, socket] = co_await this->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (error) {
-            timer.expires_after(acceptRetryDelay);
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-            continue;
-        }
-        this->accept(std::move(socket));
-    }
-}
-
 void PeerServer::accept(asio::ip::tcp::socket socket)
 {
     this->sessions.remove_if([](const std::weak_ptr<PeerSession> &session) {
--- a/galenarack/peer/peerserver.h
+++ b/galenarack/peer/peerserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <galenarack/core/listener.h>
 #include <galenarack/core/log.h>
 #include <galenarack/core/nodeidentity.h>
 #include <galenarack/peer/peercontrol.h>
@@ -21,7 +22,7 @@
     /// @param ownReport makes the report that answers a hello
     /// @param helloReceived is told of each accepted hello
     /// @param handler answers all other requests
-    PeerServer(boost::asio::any_io_executor executor,
+    PeerServer(const boost::asio::any_io_executor &executor,
                NodeIdentity identity,
                PeerLimits limits,
                std::size_t connectionLimit,
@@ -40,19 +41,17 @@
     std::size_t openRequests() const;
 
 private:
-    boost::asio::awaitable<void> acceptLoop();
     void accept(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<PeerResponse> handle(std::shared_ptr<bool> greeted, std::shared_ptr<PeerCall> call);
     PeerResponse answerHello(bool &greeted, const PeerRequest &request);
 
-    boost::asio::any_io_executor executor;
     NodeIdentity identity;
     PeerLimits limits;
     std::size_t connectionLimit;
     std::function<NodeReport()> ownReport;
     std::function<void(const NodeReport &)> helloReceived;
     PeerHandler handler;
-    boost::asio::ip::tcp::acceptor acceptor;
+    Listener listener;
     std::list<std::weak_ptr<PeerSession>> sessions;
     std::size_t requestsInProgress = 0;
     Log log;
