--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -100,7 +100,7 @@
 
 } // namespace
 
-HomeNode::HomeNode(asio::any_io_executor executor,
+HomeNode::HomeNode(const asio::any_io_executor &executor,
                    NodeIdentity identity,
                    std::span<const HomeUpstream> upstreams,
                    UpstreamLimits upstreamLimits,
--- a/galenarack/home/homenode.h
+++ b/galenarack/home/homenode.h
@@ -56,7 +56,7 @@
 class HomeNode
 {
 public:
-    HomeNode(boost::asio::any_io_executor executor,
+    HomeNode(const boost::asio::any_io_executor &executor,
              NodeIdentity identity,
              std::span<const HomeUpstream> upstreams,
              UpstreamLimits upstreamLimits,
--- a/performancetest/capacity.cpp
+++ b/performancetest/capacity.cpp
@@ -189,7 +189,7 @@
             asio::co_spawn(
                 this->context,
                 [this, vm = nameOf(i)]() -> asio::awaitable<void> {
-                    co_await this->client.connect(vm, NodeClock::now() + std::chrono::seconds(30));
+                    std::ignore = co_await this->client.connect(vm, NodeClock::now() + std::chrono::seconds(30));
                 },
                 asio::detached);
             if (i % 50 == 0) {
@@ -348,7 +348,7 @@
             PeerRequest request;
             request.method = "GET";
             request.path = PeerPath::heartbeat;
-            co_await client->request(std::move(request), NodeClock::now() + std::chrono::seconds(2));
+            std::ignore = co_await client->request(std::move(request), NodeClock::now() + std::chrono::seconds(2));
         }
         bytes = (bytesOnWire(descriptor) - before) / count;
         client->close();
--- a/processtests/support/fleetfixture.cpp
+++ b/processtests/support/fleetfixture.cpp
@@ -70,7 +70,7 @@
                                  + serviceRows;
     this->sections["upstreams"] = this->upstreamsSection();
     this->sections["routes"] = this->routesSection();
-    this->sections["accounts"] = sectionHead("accounts") + "accounts:\n  - {name: charity}\n";
+    this->sections["accounts"] = sectionHead("accounts") + "accounts:\n  - {name: charity}\n  - {name: greedy}\n";
     this->sections["timings"] = sectionHead("timings") + "timings: {max_retire_share: 1}\n";
     this->publishVmLists();
     this->publish();
