End a request that is cancelled while its connection is being opened

Cause: found by reading: UpstreamPool set the abort function after the connect, so a caller that left during it had no effect and its work ran for nobody. Change: the abort function stands from the start; a request aborted before it was sent ends as Cancelled and its connection is kept. Ruled out: closing the socket during the connect, which saves nothing.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -104,18 +104,26 @@
                                                                     TimePoint deadline,
                                                                     UpstreamCall &call)
 {
+    bool isAborted = false;
+    call.abort = [&isAborted] {
+        isAborted = true;
+    };
+    const ScopeGuard finished([&call] {
+        call.abort = nullptr;
+    });
     auto obtained = co_await this->obtain(deadline);
     if (!obtained.ok()) {
         co_return obtained.status();
     }
+    if (isAborted) {
+        this->keep(std::move(*obtained));
+        co_return makeError(ErrorKind::Cancelled, "cancelled before the request was sent");
+    }
     const std::unique_ptr<Connection> connection = std::move(*obtained);
     beast::tcp_stream &stream = connection->stream;
     call.abort = [&stream] {
         stream.close();
     };
-    const ScopeGuard finished([&call] {
-        call.abort = nullptr;
-    });
 
     const auto message = toBeast(request, this->address);
     stream.expires_after(std::max(deadline - NodeClock::now(), Duration(1)));
@@ -197,6 +205,7 @@
 void UpstreamPool::keep(std::unique_ptr<Connection> connection)
 {
     connection->stream.expires_never();
+    connection->idleSince = NodeClock::now();
     if (this->idle.size() < this->limits.idleConnections) {
         this->idle.push_back(std::move(connection));
     }
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -30,7 +30,7 @@
 /// One request in progress at an upstream; lets another coroutine end it.
 struct UpstreamCall
 {
-    std::function<void()> abort; ///< Closes the connection; set while the request is in progress.
+    std::function<void()> abort; ///< Ends the request; set while it is in progress.
 };
 
 /// Kept HTTP/1.1 connections from the home to one upstream.
@@ -45,7 +45,7 @@
     /// Sends one request and reads the whole response.
     /// @param requestId sent along; where the upstream echoes it, the echo must match
     /// @return the response, or UpstreamConnectFailed (surely not run), UpstreamAnswerCut, UpstreamAnswerInvalid,
-    ///         UpstreamAnswerTooLarge or Timeout
+    ///         UpstreamAnswerTooLarge, Timeout, or Cancelled when it was aborted before it was sent
     boost::asio::awaitable<absl::StatusOr<PeerResponse>> request(const PeerRequest &request,
                                                                  std::string_view requestId,
                                                                  TimePoint deadline,
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -169,6 +169,7 @@
     CPPUNIT_TEST(faultyResponsesAreToldApartAndNotReused);
     CPPUNIT_TEST(refusedConnectionSurelyDidNotRun);
     CPPUNIT_TEST(connectionFieldsStayOnTheirConnection);
+    CPPUNIT_TEST(requestAbortedDuringConnectIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +209,32 @@
         CPPUNIT_ASSERT(errorKindOf(response.status()) == ErrorKind::UpstreamConnectFailed);
     }
 
+    /// Guards against work that runs for nobody because its caller left while the connection was being opened.
+    void requestAbortedDuringConnectIsNotSent()
+    {
+        asio::io_context context;
+        ScriptedUpstream upstream(context, Script{std::string(good)});
+        UpstreamPool pool(context.get_executor(), upstream.address(), smallLimits());
+        const PeerRequest request{"GET", "/records/1", {}, ""};
+        UpstreamCall call;
+        std::optional<absl::StatusOr<PeerResponse>> result;
+        asio::co_spawn(context,
+                       pool.request(request, requestId, NodeClock::now() + hangLimit, call),
+                       [&result](const std::exception_ptr &, absl::StatusOr<PeerResponse> response) {
+                           result = std::move(response);
+                       });
+        runUntil(context, [&call] {
+            return call.abort != nullptr;
+        });
+        call.abort();
+        runUntil(context, [&result] {
+            return result.has_value();
+        });
+        CPPUNIT_ASSERT(errorKindOf(result->status()) == ErrorKind::Cancelled);
+        runFor(context, std::chrono::milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::string(), upstream.lastRequest);
+    }
+
     /// Guards against fields of the caller's connection that change how the upstream answers, e.g. an interim response.
     void connectionFieldsStayOnTheirConnection()
     {
