Commit every run, refuse what would wait too long, leave by time

Much worth was held for seconds and then refused. Change: keep-alive on the store's connection; requests that no upstream works on are refused before the process ends; every request is offered first, so the ingress knows when its work begins and hedges from then on; a wait longer than the latency target is refused at once; the home looks again at its trust when it grants a slot. Ruled out: a lost write of the response: the request was never granted a slot.

--- a/galenarack/config/serviceclient.cpp
+++ b/galenarack/config/serviceclient.cpp
@@ -1,6 +1,7 @@
 #include <galenarack/config/serviceclient.h>
 
 #include <galenarack/core/errorkind.h>
+#include <galenarack/core/socketoptions.h>
 #include <galenarack/document/documentparser.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -67,6 +68,8 @@
         this->stream.reset();
         co_return unreachable("connect", connectError);
     }
+    // A watch is silent for long, so only the kernel can tell that the connection is dead.
+    detectSilence(this->stream->socket());
     co_return absl::OkStatus();
 }
 
--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -404,6 +404,10 @@
     }
     stream.bodyReleased = true;
     stream.progress->committed = true;
+    stream.progress->committedAt = NodeClock::now();
+    if (stream.progress->onCommitted) {
+        stream.progress->onCommitted();
+    }
     nghttp2_session_resume_data(this->session.get(), streamId);
 }
 
--- a/galenarack/peer/peersession.h
+++ b/galenarack/peer/peersession.h
@@ -36,6 +36,8 @@
 struct PeerProgress
 {
     bool committed = false; ///< The body was released, so the peer may process the request from then on.
+    TimePoint committedAt; ///< When it was released.
+    std::function<void()> onCommitted; ///< Told when it is released; may be empty.
 };
 
 /// Answers a call; the response is dropped when the call was cancelled meanwhile.
--- /dev/null
+++ b/galenarack/policy/movingshare.cpp
@@ -0,0 +1,29 @@
+#include <galenarack/policy/movingshare.h>
+
+#include <cmath>
+
+namespace Galenarack {
+
+namespace {
+
+/// Weight of a new event: an average over about the last seven.
+constexpr double eventWeight = 0.15;
+
+/// Without events the share falls by two thirds in this time.
+constexpr double memorySeconds = 2.0;
+
+} // namespace
+
+double MovingShare::value(TimePoint now) const
+{
+    return this->share * std::exp(-std::chrono::duration<double>(now - this->updated).count() / memorySeconds);
+}
+
+void MovingShare::observe(bool hasProperty, TimePoint now)
+{
+    const double previous = this->value(now);
+    this->share = previous + eventWeight * ((hasProperty ? 1.0 : 0.0) - previous);
+    this->updated = now;
+}
+
+} // namespace Galenarack
--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -17,6 +17,12 @@
 constexpr double idempotentFailureCost = 1.0;
 constexpr double otherFailureCost = 6.0;
 
+/// Cost of a rejection by an upstream that sheds load, in target latencies: another one has to be asked.
+constexpr double shedCost = 0.5;
+
+/// An ejected upstream that this ingress has not heard of for this long after its trial time is chosen like any other.
+constexpr Duration ejectionMemory = std::chrono::milliseconds(500);
+
 /// Random part of the cost, as a share of the target latency, so that nodes with the same beliefs do not choose alike.
 constexpr double jitterShare = 0.05;
 
@@ -79,15 +85,21 @@
     return std::chrono::duration_cast<Duration>(expected * (excess / belief.entry.slots));
 }
 
+Duration Placement::failureCost(const PlacementRequest &request, double grayProbability)
+{
+    const double targets = request.idempotent ? idempotentFailureCost : otherFailureCost;
+    return std::chrono::duration_cast<Duration>(request.target * (targets * grayProbability));
+}
+
 double Placement::costSeconds(const UpstreamBelief &belief, const PlacementRequest &request, TimePoint now)
 {
     const double target = seconds(request.target);
     const double slowness = now < belief.coldUntil ? std::max(coldSlowness, belief.load.slowness) : belief.load.slowness;
-    const double failureCost = request.idempotent ? idempotentFailureCost : otherFailureCost;
     std::uniform_real_distribution<double> jitter(0.0, jitterShare);
     double cost = seconds(expectedWait(belief, request.expected, now)) * slowness;
     cost += seconds(request.expected) * (slowness - 1.0);
-    cost += target * (failureCost * belief.load.grayProbability + jitter(this->random));
+    cost += seconds(failureCost(request, belief.load.grayProbability));
+    cost += target * (shedCost * belief.load.shedShare + jitter(this->random));
     if (belief.entry.failureDomain != this->failureDomain) {
         cost += target * crossDomainShare;
     }
@@ -106,9 +118,11 @@
         if (belief.ejected && now >= belief.trialAt && request.mayTry) {
             return &belief;
         }
-        // An upstream that was ejected comes last; it is chosen only when all others are excluded.
-        constexpr double ejectedCostSeconds = 1000;
-        const double cost = this->costSeconds(belief, request, now) + (belief.ejected ? ejectedCostSeconds : 0);
+        const bool isEjected = belief.ejected && now < belief.trialAt + ejectionMemory;
+        if (isEjected && !request.acceptsGray) {
+            continue;
+        }
+        const double cost = this->costSeconds(belief, request, now);
         if (best == nullptr || cost < bestCost) {
             best = &belief;
             bestCost = cost;
--- a/galenarack/policy/placement.h
+++ b/galenarack/policy/placement.h
@@ -20,6 +20,7 @@
     std::uint32_t slots = 1;
     double grayProbability = 0;
     double slowness = 1; ///< Duration of its work relative to the usual one.
+    double shedShare = 0; ///< Share of the requests sent to it that it rejects without running them.
 };
 
 /// What an ingress believes about one upstream.
@@ -44,6 +45,7 @@
     Duration expected{}; ///< Usual duration of the work.
     Duration target{}; ///< Latency within which a response has its full value.
     bool mayTry = false; ///< May go to an ejected upstream to see whether it has recovered.
+    bool acceptsGray = false; ///< May go to an ejected upstream for want of a better one.
 };
 
 /// Choice of the upstream for a request: the least expected time until a good response.
@@ -75,6 +77,9 @@
     /// The home could not be reached.
     void reportPathFailure(std::string_view id, TimePoint now);
 
+    /// @return cost of a failed run at the upstream, in time
+    static Duration failureCost(const PlacementRequest &request, double grayProbability);
+
     /// @return estimated time until the upstream starts one more request
     static Duration expectedWait(const UpstreamBelief &belief, Duration expected, TimePoint now);
 
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -40,6 +40,9 @@
 /// An ingress that is told that the node or its upstream leaves asks again after this time.
 constexpr Duration leavingPause = std::chrono::seconds(2);
 
+/// Work is taken by a leaving node when this many times its usual duration fits into the time that is left.
+constexpr int drainSafety = 2;
+
 constexpr unsigned serverError = 500;
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned misdirected = 421;
@@ -106,6 +109,7 @@
     load.slots = this->queue.slotCount();
     load.grayProbability = this->grayProbability(failureDomain, now);
     load.slowness = this->slowness;
+    load.shedShare = this->shed.value(now);
     return load;
 }
 
@@ -124,29 +128,28 @@
 OfferEnd HomeService::admissionOf(const Offer &offer, TimePoint now, Duration &retryAfter)
 {
     const UpstreamEntry *own = this->entry();
-    if (this->draining || own == nullptr || own->id != offer.upstream || own->draining) {
+    const bool isLeaving = this->drainEnd && now + offer.expected * drainSafety > *this->drainEnd;
+    if (isLeaving || own == nullptr || own->id != offer.upstream || own->draining) {
         retryAfter = leavingPause;
         return OfferEnd::Leaving;
     }
     this->queue.setSlots(own->slots);
-    if (offer.insist) {
+    if (offer.acceptsGray || this->isTrusted(offer, now)) {
         return OfferEnd::Answered;
     }
-    const double gray = this->grayProbability(offer.failureDomain, now);
-    if (!offer.idempotent && gray > onceOnlyLimit) {
-        retryAfter = trialInterval;
+    if (!offer.idempotent || now - this->lastTrial < trialInterval) {
+        retryAfter = offer.idempotent ? this->lastTrial + trialInterval - now : trialInterval;
         return OfferEnd::Ejected;
     }
-    if (offer.idempotent && gray > ejectionLimit) {
-        if (now - this->lastTrial < trialInterval) {
-            retryAfter = this->lastTrial + trialInterval - now;
-            return OfferEnd::Ejected;
-        }
-        this->lastTrial = now;
-    }
+    this->lastTrial = now;
     return OfferEnd::Answered;
 }
 
+bool HomeService::isTrusted(const Offer &offer, TimePoint now) const
+{
+    return this->grayProbability(offer.failureDomain, now) <= (offer.idempotent ? ejectionLimit : onceOnlyLimit);
+}
+
 asio::awaitable<PeerResponse> HomeService::handle(std::shared_ptr<PeerCall> call)
 {
     const TimePoint arrival = NodeClock::now();
@@ -177,6 +180,10 @@
         this->queue.release(ticket);
         this->advance(NodeClock::now());
     });
+    // The upstream may have turned gray while the request waited.
+    if (!offer->idempotent && !offer->acceptsGray && !this->isTrusted(*offer, NodeClock::now())) {
+        co_return this->ended(*offer, OfferEnd::Ejected, trialInterval);
+    }
     if (call->receiveBody && !co_await call->receiveBody(NodeClock::now() + commitTimeout)) {
         co_return this->ended(*offer, OfferEnd::Withdrawn, Duration::zero());
     }
@@ -193,7 +200,7 @@
 {
     const TimePoint now = NodeClock::now();
     const Duration wait = this->queue.estimateWait(request, now);
-    if (wait > offer.patience && !offer.insist) {
+    if (wait > offer.patience) {
         retryAfter = wait;
         co_return OfferEnd::Busy;
     }
@@ -324,6 +331,9 @@
 {
     TrustFilter &filter = this->trustOf(offer.failureDomain);
     const bool nestedFailed = this->lastNestedFailure >= started;
+    if (end == OfferEnd::Answered || end == OfferEnd::Rejected) {
+        this->shed.observe(end == OfferEnd::Rejected, now);
+    }
     switch (end) {
     case OfferEnd::Answered:
         if (status < serverError) {
@@ -339,9 +349,6 @@
     case OfferEnd::Unconnected:
         filter.observe(TrustEvidence::Failure, now);
         break;
-    case OfferEnd::Rejected:
-        filter.observe(TrustEvidence::Overdue, now);
-        break;
     default:
         break;
     }
@@ -364,9 +371,9 @@
     this->advance(now);
 }
 
-void HomeService::drain()
+void HomeService::drainUntil(TimePoint end)
 {
-    this->draining = true;
+    this->drainEnd = end;
 }
 
 } // namespace Galenarack
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -5,6 +5,7 @@
 #include <galenarack/home/upstreampool.h>
 #include <galenarack/peer/peersession.h>
 #include <galenarack/policy/admissionqueue.h>
+#include <galenarack/policy/movingshare.h>
 #include <galenarack/policy/trustfilter.h>
 #include <galenarack/proxy/dialect.h>
 #include <galenarack/proxy/offer.h>
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Galenarack {
@@ -37,8 +39,8 @@
     /// Drops requests that can no longer end in time and takes what overdue requests show. Call it every 50 ms.
     void tick(TimePoint now);
 
-    /// Hands all new offers back from now on.
-    void drain();
+    /// The node is leaving: from now on takes only work that will have ended by a time.
+    void drainUntil(TimePoint end);
 
     /// Tells that a request which the upstream sent while it ran other work has failed, so the failure of that work is not
     /// the upstream's own.
@@ -75,6 +77,7 @@
     boost::asio::awaitable<OfferEnd> waitForSlot(const AdmissionRequest &request, PeerCall &call, Duration &retryAfter, const Offer &offer);
     boost::asio::awaitable<PeerResponse> run(const Offer &offer, PeerCall &call, TimePoint deadline, std::uint64_t ticket);
     OfferEnd admissionOf(const Offer &offer, TimePoint now, Duration &retryAfter);
+    bool isTrusted(const Offer &offer, TimePoint now) const;
     OfferEnd classify(const absl::StatusOr<PeerResponse> &response) const;
     void learn(const Offer &offer, OfferEnd end, unsigned status, TimePoint started, TimePoint now);
     PeerRequest toUpstreamRequest(const Offer &offer, PeerRequest request, Duration remaining) const;
@@ -98,7 +101,8 @@
     double slowness = 1; ///< Moving average of actual over usual duration.
     TimePoint lastTrial;
     TimePoint lastNestedFailure;
-    bool draining = false;
+    MovingShare shed; ///< Of the requests that the upstream rejects.
+    std::optional<TimePoint> drainEnd; ///< Set while the node is leaving.
     Log log{"home"};
 };
 
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -17,7 +17,7 @@
 constexpr std::string_view originField = "galenarack-origin"; ///< The same on all offers of a connection, so HPACK indexes it.
 constexpr std::string_view reportField = "galenarack-report";
 constexpr std::size_t offerParts = 8;
-constexpr std::size_t reportParts = 8;
+constexpr std::size_t reportParts = 9;
 
 constexpr std::array<std::string_view, 10> endNames
     = {"answered", "busy", "ejected", "leaving", "expired", "rejected", "unconnected", "broken", "timed-out", "withdrawn"};
@@ -73,7 +73,7 @@
 /// Bits of the flags in an offer.
 constexpr std::int64_t idempotentFlag = 1;
 constexpr std::int64_t nestedFlag = 2;
-constexpr std::int64_t insistFlag = 4;
+constexpr std::int64_t acceptsGrayFlag = 4;
 
 } // namespace
 
@@ -84,7 +84,8 @@
 
 void Offer::appendTo(HeaderList &headers) const
 {
-    const std::int64_t flags = (this->idempotent ? idempotentFlag : 0) | (this->nested ? nestedFlag : 0) | (this->insist ? insistFlag : 0);
+    const std::int64_t flags
+        = (this->idempotent ? idempotentFlag : 0) | (this->nested ? nestedFlag : 0) | (this->acceptsGray ? acceptsGrayFlag : 0);
     headers.add(offerField,
                 absl::StrCat(this->upstream,
                              " ",
@@ -114,7 +115,7 @@
     const std::int64_t flags = offerReader.number();
     offer.idempotent = (flags & idempotentFlag) != 0;
     offer.nested = (flags & nestedFlag) != 0;
-    offer.insist = (flags & insistFlag) != 0;
+    offer.acceptsGray = (flags & acceptsGrayFlag) != 0;
     offer.priority = static_cast<std::uint32_t>(offerReader.number());
     offer.remaining = offerReader.duration();
     offer.untilTarget = offerReader.duration();
@@ -144,6 +145,8 @@
                              " ",
                              static_cast<int>(this->load.slowness * percent),
                              " ",
+                             static_cast<int>(this->load.shedShare * percent),
+                             " ",
                              toMs(this->ran),
                              " ",
                              toMs(this->retryAfter)));
@@ -160,6 +163,7 @@
     report.load.slots = static_cast<std::uint32_t>(reader.number());
     report.load.grayProbability = static_cast<double>(reader.number()) / percent;
     report.load.slowness = static_cast<double>(reader.number()) / percent;
+    report.load.shedShare = static_cast<double>(reader.number()) / percent;
     report.ran = reader.duration();
     report.retryAfter = reader.duration();
     if (!reader.isValid() || end >= static_cast<std::int64_t>(endNames.size())) {
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -20,7 +20,7 @@
     std::string requestId; ///< Of the caller.
     bool idempotent = false;
     bool nested = false; ///< Sent by an upstream while it runs other work.
-    bool insist = false; ///< No other upstream is left: take it even without trust in the upstream.
+    bool acceptsGray = false; ///< No better upstream is left: run it even without trust in this one.
     std::uint32_t priority = 0;
     Duration remaining{}; ///< Until the deadline.
     Duration untilTarget{}; ///< Until the response has lost its full value; zero when it has already.
--- a/galenarack/proxy/peerlinks.cpp
+++ b/galenarack/proxy/peerlinks.cpp
@@ -107,7 +107,7 @@
 }
 
 asio::awaitable<absl::StatusOr<PeerResponse>> PeerLinks::exchange(
-    asio::ip::address vm, PeerRequest request, TimePoint deadline, std::shared_ptr<Cancellation> cancellation, PeerProgress *progress)
+    asio::ip::address vm, PeerRequest request, TimePoint deadline, std::shared_ptr<Cancellation> cancellation, PeerProgress &progress)
 {
     const auto session = co_await this->obtain(vm);
     if (!session) {
@@ -116,10 +116,7 @@
     if (cancellation->isRequested()) {
         co_return makeError(ErrorKind::PeerUnreachable, "cancelled before the request was sent");
     }
-    if (progress == nullptr) {
-        co_return co_await session->request(std::move(request), deadline, std::move(cancellation));
-    }
-    co_return co_await session->requestWhenAsked(std::move(request), deadline, std::move(cancellation), *progress);
+    co_return co_await session->requestWhenAsked(std::move(request), deadline, std::move(cancellation), progress);
 }
 
 void PeerLinks::tick(TimePoint now)
--- a/galenarack/proxy/peerlinks.h
+++ b/galenarack/proxy/peerlinks.h
@@ -29,15 +29,14 @@
     /// @return SettingInvalid when the address cannot be bound
     absl::Status listen(const boost::asio::ip::tcp::endpoint &address);
 
-    /// Sends a request to the node of a VM and waits for the response.
-    /// @param progress null for a request that the node may process at once; otherwise the body is held back until the node
-    ///        asks for it
+    /// Sends a request to the node of a VM and waits for the response. Its body is held back until the node asks for it.
+    /// @param progress must outlive the call
     /// @return as PeerSession::requestWhenAsked(); PeerUnreachable when there is no connection, so nothing was sent
     boost::asio::awaitable<absl::StatusOr<PeerResponse>> exchange(boost::asio::ip::address vm,
                                                                   PeerRequest request,
                                                                   TimePoint deadline,
                                                                   std::shared_ptr<Cancellation> cancellation,
-                                                                  PeerProgress *progress);
+                                                                  PeerProgress &progress);
 
     /// Checks all connections for silence. Call it every 50 ms.
     void tick(TimePoint now);
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -23,7 +23,10 @@
 constexpr Duration announceTime = std::chrono::milliseconds(2600);
 
 /// The process ends this long before it would be killed.
-constexpr Duration killMargin = std::chrono::milliseconds(400);
+constexpr Duration killMargin = std::chrono::milliseconds(300);
+
+/// Requests that no upstream works on are refused this long before the process would be killed.
+constexpr Duration refusalMargin = std::chrono::milliseconds(1200);
 
 ServiceSettings registrySettings(const Settings &settings)
 {
@@ -122,7 +125,7 @@
                    {{"signal", signal},
                     {"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
                     {"home_in_progress", static_cast<std::int64_t>(this->home.inProgress())}});
-    this->home.drain();
+    this->home.drainUntil(this->drainStarted + announceTime);
     this->callers.drain();
 }
 
@@ -152,6 +155,9 @@
     if (age < announceTime) {
         return;
     }
+    if (age >= this->settings.bounds.terminationGrace - refusalMargin) {
+        this->router.refuseWaiting();
+    }
     if (isIdle || age >= this->settings.bounds.terminationGrace - killMargin) {
         this->callers.stop();
         this->links.stop();
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -25,6 +25,10 @@
 /// Wait that an offer accepts while other upstreams can still be asked, as a share of the latency target.
 constexpr double patienceShare = 0.1;
 
+/// Longest wait for a slot that a request accepts, as a share of its latency target. A queue that is longer serves nobody
+/// better: it only makes every response late.
+constexpr double longestWaitShare = 1.0;
+
 /// An idempotent request is sent to a second upstream after this many times its usual duration without a response.
 constexpr double hedgeFactor = 2.5;
 constexpr Duration hedgeLeast = std::chrono::milliseconds(80);
@@ -69,11 +73,11 @@
                                                    bool nested,
                                                    bool isConfigCurrent)
 {
-    ++this->open;
-    const ScopeGuard finished([this] {
-        --this->open;
-    });
     const auto course = std::make_shared<Course>(this->executor, std::move(request));
+    this->open.insert(course);
+    const ScopeGuard finished([this, course] {
+        this->open.erase(course);
+    });
     course->cancellation = std::move(cancellation);
     course->nested = nested;
     PeerResponse refusal;
@@ -159,45 +163,95 @@
             this->withdrawAll(*course);
             co_return this->refuse(*course, ErrorKind::Cancelled, Duration::zero());
         }
-        std::shared_ptr<Attempt> ended;
-        bool isAnyOpen = false;
-        for (const auto &attempt : course->attempts) {
-            if (attempt->done && !attempt->judged) {
-                ended = attempt;
-            }
-            isAnyOpen = isAnyOpen || !attempt->done;
-        }
-        if (ended) {
-            ended->judged = true;
-            const NextStep step = this->judge(*course, *ended);
+        const auto ended = std::ranges::find_if(course->attempts, [](const std::shared_ptr<Attempt> &attempt) {
+            return attempt->done && !attempt->judged;
+        });
+        if (ended != course->attempts.end()) {
+            const std::shared_ptr<Attempt> attempt = *ended;
+            attempt->judged = true;
+            const NextStep step = this->judge(*course, *attempt);
             if (step == NextStep::Respond) {
                 this->withdrawAll(*course);
-                co_return this->respond(*course, *ended);
+                co_return this->respond(*course, *attempt);
             }
-            const bool started = step == NextStep::TryNext && now < course->deadline && this->startAttempt(course, false);
-            if (!started && !isAnyOpen) {
+            const bool mayStart = step == NextStep::TryNext && now < course->deadline && !course->abandoned;
+            const bool isAnyOpen = (mayStart && this->startAttempt(course, false)) || this->hasOpenAttempt(*course);
+            if (!isAnyOpen) {
                 co_return this->fail(*course, now >= course->deadline);
             }
             continue;
         }
-        if (now >= course->deadline) {
+        if (now >= course->deadline || (course->abandoned && !this->isWorking(*course))) {
             this->withdrawAll(*course);
-            co_return this->fail(*course, true);
+            co_return this->fail(*course, now >= course->deadline);
         }
-        if (!course->hedged && now >= course->hedgeAt) {
-            course->hedged = true;
-            if (course->route->idempotent && this->mayRepeat(*course)) {
-                this->startAttempt(course, true);
-            }
+        const std::optional<TimePoint> hedgeAt = this->hedgeTime(*course);
+        if (hedgeAt && now >= *hedgeAt) {
+            this->startHedge(course);
             continue;
         }
-        const TimePoint until = course->hedged ? course->deadline : std::min(course->deadline, course->hedgeAt);
-        course->wake.expires_after(until - now);
+        course->wake.expires_after((hedgeAt ? std::min(*hedgeAt, course->deadline) : course->deadline) - now);
         co_await course->wake.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
-UpstreamBelief *RequestRouter::chooseUpstream(Course &course, bool isHedge, bool &insist)
+bool RequestRouter::hasOpenAttempt(const Course &course) const
+{
+    return std::ranges::any_of(course.attempts, [](const std::shared_ptr<Attempt> &attempt) {
+        return !attempt->done;
+    });
+}
+
+bool RequestRouter::isWorking(const Course &course) const
+{
+    return std::ranges::any_of(course.attempts, [](const std::shared_ptr<Attempt> &attempt) {
+        return !attempt->done && attempt->progress.committed;
+    });
+}
+
+void RequestRouter::refuseWaiting()
+{
+    for (const auto &course : this->open) {
+        course->abandoned = true;
+        course->wake.cancel();
+    }
+}
+
+std::optional<TimePoint> RequestRouter::hedgeTime(const Course &course) const
+{
+    if (course.hedged || !course.route->idempotent) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> due;
+    for (const auto &attempt : course.attempts) {
+        if (!attempt->done && attempt->progress.committed) {
+            const auto usual = std::chrono::duration_cast<Duration>(course.expected * hedgeFactor);
+            const TimePoint at = attempt->progress.committedAt + std::max(usual, hedgeLeast);
+            due = due ? std::min(*due, at) : at;
+        }
+    }
+    return due;
+}
+
+void RequestRouter::startHedge(const std::shared_ptr<Course> &course)
+{
+    course->hedged = true;
+    if (this->mayRepeat(*course)) {
+        this->startAttempt(course, true);
+    }
+}
+
+Duration RequestRouter::longestWait(const Course &course, TimePoint now) const
+{
+    const Duration left = course.deadline - now - course.expected;
+    if (course.nested) {
+        return std::max(left, Duration::zero());
+    }
+    const auto useful = std::chrono::duration_cast<Duration>(course.route->targetLatency * longestWaitShare);
+    return std::max(std::min(left, useful), Duration::zero());
+}
+
+RequestRouter::Target RequestRouter::chooseTarget(Course &course, bool isHedge)
 {
     const TimePoint now = NodeClock::now();
     this->refreshEntries(now);
@@ -208,29 +262,61 @@
     request.target = course.route->targetLatency;
     request.mayTry = request.idempotent && !isHedge && course.offers == 0
                      && this->allowanceOf(course.service).remaining(now, this->view.entries().size(), lowPriorityUrgency) >= 1;
-    insist = false;
+    if (course.sentTo.size() >= course.route->maxAttempts) {
+        return this->chooseRejecting(course, now);
+    }
     std::vector<std::string> excluded = course.excluded;
-    for (const auto &[upstream, wait] : course.busy) {
-        excluded.push_back(upstream);
-    }
-    const bool mayAskMore = course.busy.size() < offersBeforeQueueing;
-    UpstreamBelief *belief = mayAskMore ? this->placement.choose(request, excluded, now) : nullptr;
-    if (belief != nullptr || isHedge) {
-        return belief;
-    }
-    // All upstreams are busy or not trusted, so the one with the shortest wait gets the request for good.
-    insist = true;
-    while (!course.busy.empty()) {
-        const auto least = std::ranges::min_element(course.busy, {}, &std::pair<std::string, Duration>::second);
-        const std::string upstream = least->first;
-        course.busy.erase(least);
-        UpstreamBelief *known = this->placement.find(upstream);
+    for (const HandBack &handBack : course.handBacks) {
+        excluded.push_back(handBack.upstream);
+    }
+    Target target;
+    target.patience = isHedge ? Duration::zero() : std::chrono::duration_cast<Duration>(course.route->targetLatency * patienceShare);
+    if (course.handBacks.size() < offersBeforeQueueing) {
+        target.belief = this->placement.choose(request, excluded, now);
+    }
+    return target.belief != nullptr || isHedge ? target : this->chooseLastResort(course, request, now);
+}
+
+RequestRouter::Target RequestRouter::chooseRejecting(Course &course, TimePoint now)
+{
+    // The bound on upstreams is reached, but one that has only rejected the request may be asked again.
+    Target target;
+    target.patience = this->longestWait(course, now);
+    target.acceptsGray = true;
+    for (const std::string &upstream : course.rejecting) {
+        UpstreamBelief *belief = this->placement.find(upstream);
+        if (belief != nullptr && !belief->entry.draining && now >= belief->unreachableUntil) {
+            target.belief = belief;
+        }
+    }
+    return target;
+}
+
+RequestRouter::Target RequestRouter::chooseLastResort(Course &course, PlacementRequest request, TimePoint now)
+{
+    Target target;
+    target.acceptsGray = true;
+    target.patience = this->longestWait(course, now);
+    while (!course.handBacks.empty()) {
+        const auto least = std::ranges::min_element(course.handBacks, {}, [](const HandBack &handBack) {
+            return handBack.wait + handBack.failureCost;
+        });
+        if (least->wait > target.patience) {
+            // Too long to be of use, so the caller is told at once.
+            course.lastEnd = OfferEnd::Expired;
+            return {};
+        }
+        UpstreamBelief *known = this->placement.find(least->upstream);
+        course.excluded.push_back(least->upstream);
+        course.handBacks.erase(least);
         if (known != nullptr && !known->entry.draining && now >= known->unreachableUntil) {
-            course.excluded.push_back(upstream);
-            return known;
+            target.belief = known;
+            return target;
         }
     }
-    return this->placement.choose(request, course.excluded, now);
+    request.acceptsGray = true;
+    target.belief = this->placement.choose(request, course.excluded, now);
+    return target;
 }
 
 bool RequestRouter::startAttempt(const std::shared_ptr<Course> &course, bool isHedge)
@@ -238,23 +324,22 @@
     if (course->offers >= offerLimit) {
         return false;
     }
-    bool insist = false;
-    UpstreamBelief *belief = this->chooseUpstream(*course, isHedge, insist);
-    if (belief == nullptr) {
+    const Target target = this->chooseTarget(*course, isHedge);
+    if (target.belief == nullptr) {
         return false;
     }
     ++course->offers;
-    ++belief->outstanding;
+    ++target.belief->outstanding;
     const auto attempt = std::make_shared<Attempt>();
-    attempt->upstream = belief->entry.id;
+    attempt->upstream = target.belief->entry.id;
     attempt->started = NodeClock::now();
+    attempt->progress.onCommitted = [weak = std::weak_ptr<Course>(course)] {
+        if (const auto open = weak.lock()) {
+            open->wake.cancel();
+        }
+    };
     course->attempts.push_back(attempt);
-    if (!isHedge) {
-        const Duration wait = Placement::expectedWait(*belief, course->expected, attempt->started);
-        const auto usual = std::chrono::duration_cast<Duration>(course->expected * hedgeFactor);
-        course->hedgeAt = attempt->started + wait + std::max(usual, hedgeLeast);
-    }
-    PeerRequest request = this->makeOffer(*course, *belief, insist, isHedge);
+    PeerRequest request = this->makeOffer(*course, target);
     asio::co_spawn(
         this->executor,
         [this, course, attempt, offer = std::move(request)]() mutable -> asio::awaitable<void> {
@@ -264,20 +349,20 @@
     return true;
 }
 
-PeerRequest RequestRouter::makeOffer(const Course &course, const UpstreamBelief &belief, bool insist, bool isHedge) const
+PeerRequest RequestRouter::makeOffer(const Course &course, const Target &target) const
 {
     const TimePoint now = NodeClock::now();
     Offer offer;
-    offer.upstream = belief.entry.id;
+    offer.upstream = target.belief->entry.id;
     offer.requestId = course.id;
     offer.idempotent = course.route->idempotent;
     offer.nested = course.nested;
-    offer.insist = insist;
+    offer.acceptsGray = target.acceptsGray;
     offer.priority = course.route->priority;
     offer.remaining = course.deadline - now;
     offer.untilTarget = std::max(course.targetBy - now, Duration::zero());
     offer.expected = course.expected;
-    offer.patience = isHedge ? Duration::zero() : std::chrono::duration_cast<Duration>(course.route->targetLatency * patienceShare);
+    offer.patience = target.patience;
     offer.callerService = this->settings.service;
     offer.failureDomain = this->settings.failureDomain;
     PeerRequest request;
@@ -301,17 +386,9 @@
     const UpstreamEntry *entry = this->view.find(attempt->upstream);
     const asio::ip::address vm = entry != nullptr ? entry->address.address() : asio::ip::address();
     if (vm == this->settings.vm) {
-        const auto call = std::make_shared<PeerCall>();
-        call->request = std::move(request);
-        attempt->cancellation->setAction([call] {
-            call->cancellation.request();
-        });
-        attempt->progress.committed = true;
-        attempt->result = co_await this->home.handle(call);
-        attempt->cancellation->setAction(nullptr);
+        attempt->result = co_await this->runHere(*attempt, std::move(request));
     } else {
-        PeerProgress *const progress = course->route->idempotent ? nullptr : &attempt->progress;
-        attempt->result = co_await this->links.exchange(vm, std::move(request), course->deadline, attempt->cancellation, progress);
+        attempt->result = co_await this->links.exchange(vm, std::move(request), course->deadline, attempt->cancellation, attempt->progress);
     }
     attempt->done = true;
     if (attempt->result.ok()) {
@@ -321,6 +398,24 @@
     course->wake.cancel();
 }
 
+asio::awaitable<PeerResponse> RequestRouter::runHere(Attempt &attempt, PeerRequest request)
+{
+    const auto call = std::make_shared<PeerCall>();
+    call->request = std::move(request);
+    call->receiveBody = [&attempt](TimePoint) -> asio::awaitable<bool> {
+        attempt.progress.committed = true;
+        attempt.progress.committedAt = NodeClock::now();
+        attempt.progress.onCommitted();
+        co_return true;
+    };
+    attempt.cancellation->setAction([call] {
+        call->cancellation.request();
+    });
+    PeerResponse response = co_await this->home.handle(call);
+    attempt.cancellation->setAction(nullptr);
+    co_return response;
+}
+
 void RequestRouter::learn(const Course &course, const Attempt &attempt)
 {
     const TimePoint now = NodeClock::now();
@@ -353,11 +448,10 @@
                         {"detail", messageOf(attempt.result.status())},
                         {"committed", attempt.progress.committed ? "yes" : "no"}});
         course.lastEnd = mayHaveRun ? OfferEnd::Broken : OfferEnd::Unconnected;
-        return mayHaveRun ? this->afterFailure(course, true) : NextStep::TryNext;
+        return mayHaveRun ? this->afterArrival(course, attempt, true) : NextStep::TryNext;
     }
     if (!attempt.report) {
-        course.excluded.push_back(attempt.upstream);
-        return this->afterFailure(course, true);
+        return this->afterArrival(course, attempt, true);
     }
     course.lastEnd = attempt.report->end;
     switch (attempt.report->end) {
@@ -365,9 +459,8 @@
         if (attempt.result->status < serverError || !course.route->idempotent) {
             return NextStep::Respond;
         }
-        course.excluded.push_back(attempt.upstream);
         course.failure = attempt.result.value();
-        return this->afterFailure(course, true);
+        return this->afterArrival(course, attempt, true);
     case OfferEnd::Busy:
     case OfferEnd::Ejected:
     case OfferEnd::Leaving:
@@ -375,13 +468,12 @@
     case OfferEnd::Unconnected:
         return this->afterHandBack(course, attempt);
     case OfferEnd::Rejected:
-        course.excluded.push_back(attempt.upstream);
-        return this->afterFailure(course, false);
+        return this->afterArrival(course, attempt, false);
     case OfferEnd::Broken:
     case OfferEnd::TimedOut:
-        course.excluded.push_back(attempt.upstream);
-        return this->afterFailure(course, true);
+        return this->afterArrival(course, attempt, true);
     case OfferEnd::Withdrawn:
+        course.excluded.push_back(attempt.upstream);
         return NextStep::TryNext;
     }
     return NextStep::Fail;
@@ -390,38 +482,51 @@
 RequestRouter::NextStep RequestRouter::afterHandBack(Course &course, const Attempt &attempt)
 {
     const OfferReport &report = *attempt.report;
-    course.retryAfter = std::max(course.retryAfter, report.retryAfter);
     if (report.end == OfferEnd::Busy || report.end == OfferEnd::Ejected) {
-        const Duration penalty
-            = report.end == OfferEnd::Ejected
-                  ? std::chrono::duration_cast<Duration>(course.route->targetLatency * (2.0 * report.load.grayProbability))
-                  : Duration::zero();
-        const Duration wait = report.end == OfferEnd::Busy ? report.retryAfter : Duration::zero();
-        course.busy.emplace_back(attempt.upstream, wait + penalty);
+        PlacementRequest request;
+        request.idempotent = course.route->idempotent;
+        request.target = course.route->targetLatency;
+        HandBack handBack;
+        handBack.upstream = attempt.upstream;
+        handBack.wait = report.end == OfferEnd::Busy ? report.retryAfter : Duration::zero();
+        handBack.failureCost = Placement::failureCost(request, report.load.grayProbability);
+        course.retryAfter = std::max(course.retryAfter, handBack.wait);
+        // A second hand-back means that the estimates of the first no longer hold.
+        if (std::ranges::find(course.excluded, attempt.upstream) == course.excluded.end()) {
+            course.handBacks.push_back(std::move(handBack));
+        }
     } else {
         course.excluded.push_back(attempt.upstream);
     }
     return NextStep::TryNext;
 }
 
-RequestRouter::NextStep RequestRouter::afterFailure(Course &course, bool mayHaveRun)
+RequestRouter::NextStep RequestRouter::afterArrival(Course &course, const Attempt &attempt, bool mayHaveRun)
 {
-    ++course.arrivals;
-    course.mayHaveRun = course.mayHaveRun || mayHaveRun;
-    if (mayHaveRun && !course.route->idempotent) {
-        return NextStep::Fail;
+    if (std::ranges::find(course.sentTo, attempt.upstream) == course.sentTo.end()) {
+        course.sentTo.push_back(attempt.upstream);
+    }
+    if (mayHaveRun) {
+        course.mayHaveRun = true;
+        course.excluded.push_back(attempt.upstream);
+        std::erase(course.rejecting, attempt.upstream);
+        if (!course.route->idempotent) {
+            return NextStep::Fail;
+        }
+    } else if (std::ranges::find(course.rejecting, attempt.upstream) == course.rejecting.end()) {
+        course.rejecting.push_back(attempt.upstream);
     }
     return this->mayRepeat(course) ? NextStep::TryNext : NextStep::Fail;
 }
 
 bool RequestRouter::mayRepeat(Course &course)
 {
-    // A hedge that is open counts as an arrival as well.
-    std::size_t arrivals = course.arrivals;
+    // Attempts that are open count as arrivals as well.
+    std::size_t upstreams = course.sentTo.size();
     for (const auto &attempt : course.attempts) {
-        arrivals += attempt->done ? 0 : 1;
+        upstreams += attempt->done ? 0 : 1;
     }
-    if (arrivals >= course.route->maxAttempts) {
+    if (upstreams >= course.route->maxAttempts && course.rejecting.empty()) {
         return false;
     }
     const bool isUrgent = course.nested || course.route->priority <= 1;
@@ -447,7 +552,7 @@
                         {"upstream", attempt.upstream},
                         {"status", static_cast<std::int64_t>(response.status)},
                         {"offers", static_cast<std::int64_t>(course.offers)},
-                        {"arrivals", static_cast<std::int64_t>(course.arrivals)},
+                        {"arrivals", static_cast<std::int64_t>(course.sentTo.size())},
                         {"ran_ms", toMilliseconds(TimePoint(attempt.report->ran))},
                         {"took_ms", toMilliseconds(now) - toMilliseconds(course.started)}});
     }
@@ -467,10 +572,8 @@
         }
         return response;
     }
-    const bool isCommitted = std::ranges::any_of(course.attempts, [](const std::shared_ptr<Attempt> &attempt) {
-        return attempt->progress.committed && !attempt->done;
-    });
-    if (course.mayHaveRun || isCommitted || (timedOut && course.route->idempotent)) {
+    const bool isCommitted = this->isWorking(course);
+    if (course.mayHaveRun || isCommitted) {
         return this->refuse(course, timedOut ? ErrorKind::Timeout : ErrorKind::PeerLost, Duration::zero());
     }
     const Duration wait = std::max(course.retryAfter, retryAfterLeast);
@@ -498,7 +601,7 @@
                     {"route", course.route != nullptr ? std::string_view(course.route->name) : std::string_view()},
                     {"service", course.service},
                     {"offers", static_cast<std::int64_t>(course.offers)},
-                    {"arrivals", static_cast<std::int64_t>(course.arrivals)},
+                    {"arrivals", static_cast<std::int64_t>(course.sentTo.size())},
                     {"last_outcome", offerEndName(course.lastEnd)},
                     {"config_version", static_cast<std::int64_t>(course.config ? course.config->version : 0)},
                     {"took_ms", toMilliseconds(now) - toMilliseconds(course.started)}});
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,10 +52,13 @@
                                                bool nested,
                                                bool isConfigCurrent);
 
+    /// Refuses the requests that no upstream works on: the node ends before they could be run.
+    void refuseWaiting();
+
     /// @return requests in progress
     std::size_t inProgress() const
     {
-        return this->open;
+        return this->open.size();
     }
 
 private:
@@ -71,6 +75,22 @@
         std::optional<OfferReport> report;
     };
 
+    /// An upstream whose home handed the request back.
+    struct HandBack
+    {
+        std::string upstream;
+        Duration wait{}; ///< For a slot there.
+        Duration failureCost{}; ///< Expected cost of a failed run there.
+    };
+
+    /// An upstream to ask, and on what terms.
+    struct Target
+    {
+        UpstreamBelief *belief = nullptr;
+        Duration patience{}; ///< Longest wait for a slot there.
+        bool acceptsGray = false;
+    };
+
     /// One caller's request on its way.
     struct Course
     {
@@ -93,15 +113,16 @@
         boost::asio::steady_timer wake; ///< Cancelled when an attempt has ended or the caller has left.
         std::vector<std::shared_ptr<Attempt>> attempts;
         std::vector<std::string> excluded; ///< Upstreams that are not asked again.
-        std::vector<std::pair<std::string, Duration>> busy; ///< Upstreams that handed the request back, with the wait there.
-        unsigned arrivals = 0; ///< Attempts that reached an upstream, or may have.
+        std::vector<HandBack> handBacks; ///< Upstreams that can still have the request, at a cost.
+        std::vector<std::string> sentTo; ///< Upstreams that got the request, or may have.
+        std::vector<std::string> rejecting; ///< Upstreams that rejected it without running it.
         unsigned offers = 0;
         std::optional<PeerResponse> failure; ///< Of an upstream; sent on when no attempt does better.
         OfferEnd lastEnd = OfferEnd::Unconnected;
         bool mayHaveRun = false;
         Duration retryAfter{};
-        TimePoint hedgeAt;
         bool hedged = false;
+        bool abandoned = false; ///< The node ends before the request can be started.
     };
 
     /// What to do after an attempt has ended.
@@ -114,13 +135,21 @@
     bool prepare(Course &course, PeerResponse &refusal, bool isConfigCurrent);
     boost::asio::awaitable<PeerResponse> run(std::shared_ptr<Course> course);
     bool startAttempt(const std::shared_ptr<Course> &course, bool isHedge);
-    UpstreamBelief *chooseUpstream(Course &course, bool isHedge, bool &insist);
+    Target chooseTarget(Course &course, bool isHedge);
+    Target chooseRejecting(Course &course, TimePoint now);
+    Target chooseLastResort(Course &course, PlacementRequest request, TimePoint now);
+    Duration longestWait(const Course &course, TimePoint now) const;
+    std::optional<TimePoint> hedgeTime(const Course &course) const;
+    void startHedge(const std::shared_ptr<Course> &course);
     boost::asio::awaitable<void> runAttempt(std::shared_ptr<Course> course, std::shared_ptr<Attempt> attempt, PeerRequest request);
-    PeerRequest makeOffer(const Course &course, const UpstreamBelief &belief, bool insist, bool isHedge) const;
+    PeerRequest makeOffer(const Course &course, const Target &target) const;
     NextStep judge(Course &course, Attempt &attempt);
     NextStep afterHandBack(Course &course, const Attempt &attempt);
-    NextStep afterFailure(Course &course, bool mayHaveRun);
+    NextStep afterArrival(Course &course, const Attempt &attempt, bool mayHaveRun);
     bool mayRepeat(Course &course);
+    bool isWorking(const Course &course) const;
+    bool hasOpenAttempt(const Course &course) const;
+    boost::asio::awaitable<PeerResponse> runHere(Attempt &attempt, PeerRequest request);
     void learn(const Course &course, const Attempt &attempt);
     PeerResponse respond(const Course &course, Attempt &attempt);
     PeerResponse fail(Course &course, bool timedOut);
@@ -141,7 +170,7 @@
     std::map<std::string, RetryAllowance, std::less<>> allowances; ///< By service.
     std::map<std::string, WeightedSplit, std::less<>> splits; ///< By route.
     std::uint64_t viewGeneration = 0;
-    std::size_t open = 0;
+    std::set<std::shared_ptr<Course>> open;
     Log log{"router"};
 };
 
