Limit repeats at the homes, and try ejected upstreams with first attempts only

Change: each home enforces its upstream's share of the bound, and a request that is denied asks another home; an offer says whether it may be a trial; gray periods are modelled as lasting about eight seconds.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Part of the bound that a node plans with. The rest covers requests that a repeated run sends on, which count as repeats
-/// at the services they go to, and load that shifts between nodes within a window.
-constexpr double plannedShare = 0.6;
+/// Part of the bound that is planned with. The rest covers requests that a repeated run sends on, which count as repeats at
+/// the services they go to.
+constexpr double plannedShare = 0.7;
 
 } // namespace
 
@@ -37,7 +37,7 @@
     ++this->bucketAt(now).requests;
 }
 
-double RetryAllowance::remaining(TimePoint now, std::size_t nodes, double urgency) const
+double RetryAllowance::remaining(TimePoint now, std::size_t upstreams, double urgency) const
 {
     const std::int64_t oldest = this->indexOf(now) - static_cast<std::int64_t>(bucketCount) + 1;
     double requests = 0;
@@ -48,14 +48,14 @@
             repeats += bucket.repeats;
         }
     }
-    const double slack = this->bound.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const double slack = this->bound.slack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
     return urgency * plannedShare * (this->bound.ratio * requests + slack) - repeats;
 }
 
-bool RetryAllowance::tryRepeat(TimePoint now, std::size_t nodes, double urgency)
+bool RetryAllowance::tryRepeat(TimePoint now, std::size_t upstreams, double urgency)
 {
-    // A fraction left is rounded up, so that a node with little traffic can repeat its first failure.
-    if (this->remaining(now, nodes, urgency) <= 0) {
+    // A fraction left is rounded up, so that an upstream with little traffic can take a first repeat.
+    if (this->remaining(now, upstreams, urgency) <= 0) {
         return false;
     }
     ++this->bucketAt(now).repeats;
--- a/galenarack/policy/retryallowance.h
+++ b/galenarack/policy/retryallowance.h
@@ -15,8 +15,9 @@
     Duration window = std::chrono::seconds(10);
 };
 
-/// One node's share of a fleet-wide retry bound, without shared state: the ratio applies to the node's own requests and the
-/// slack is divided by the number of nodes.
+/// One upstream's share of a fleet-wide retry bound, kept by its home without shared state: the ratio applies to the
+/// requests that the upstream got, and the slack is divided by the number of upstreams of the service. A request that is
+/// denied here can ask the home of another upstream, so the whole bound can be used wherever it is needed.
 ///
 /// Answers failures that hit many requests at once, when unlimited retries would multiply the load of a service that fails.
 class RetryAllowance
@@ -24,16 +25,16 @@
 public:
     explicit RetryAllowance(RetryBound bound);
 
-    /// A request for the service was taken up.
+    /// A request reaches the upstream for the first time.
     void onRequest(TimePoint now);
 
     /// Asks for one repeated arrival.
-    /// @param nodes of the fleet
+    /// @param upstreams of the service
     /// @param urgency share of the allowance that this kind of request may use up, 0 to 1
-    [[nodiscard]] bool tryRepeat(TimePoint now, std::size_t nodes, double urgency);
+    [[nodiscard]] bool tryRepeat(TimePoint now, std::size_t upstreams, double urgency);
 
     /// @return repeats that are left in the window
-    double remaining(TimePoint now, std::size_t nodes, double urgency) const;
+    double remaining(TimePoint now, std::size_t upstreams, double urgency) const;
 
 private:
     static constexpr std::size_t bucketCount = 10;
--- a/galenarack/policy/trustfilter.h
+++ b/galenarack/policy/trustfilter.h
@@ -18,8 +18,8 @@
     double failsWhenSound = 0.015; ///< Share that a sound upstream fails.
     double overdueWhenGray = 0.4;
     double overdueWhenSound = 0.02;
-    double onsetPerSecond = 0.04; ///< Sound upstreams that turn gray.
-    double endPerSecond = 0.25; ///< Gray upstreams that recover.
+    double onsetPerSecond = 0.03; ///< Sound upstreams that turn gray.
+    double endPerSecond = 0.12; ///< Gray upstreams that recover.
 };
 
 /// Probability that an upstream is gray: the forward filter of a two-state Markov model (sound, gray) whose hidden state is
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -18,13 +18,17 @@
 constexpr std::uint32_t initialSlots = 1;
 
 /// Above this probability of being gray the upstream gets no work that must not be repeated: a failed run is lost.
-constexpr double onceOnlyLimit = 0.18;
+constexpr double onceOnlyLimit = 0.25;
 
 /// Above this probability the upstream gets trial requests only.
 constexpr double ejectionLimit = 0.6;
 
 /// An ejected upstream takes one idempotent request in this time to show whether it has recovered.
-constexpr Duration trialInterval = std::chrono::milliseconds(300);
+constexpr Duration trialInterval = std::chrono::milliseconds(600);
+
+/// Requests of lower priority than this leave part of the allowance for repeats to more urgent ones.
+constexpr std::uint32_t urgentPriority = 1;
+constexpr double lowPriorityUrgency = 0.6;
 
 /// The ingress that holds a granted request back has this long to send it. Between failure domains a round trip takes
 /// a few milliseconds.
@@ -63,6 +67,7 @@
                          asio::ip::address vm,
                          const asio::ip::tcp::endpoint &upstream,
                          const Dialect &dialect,
+                         const RetryBound &retry,
                          const FleetView &view)
     : executor(std::move(executor))
     , vm(std::move(vm))
@@ -70,6 +75,7 @@
     , view(view)
     , pool(this->executor, upstream, poolLimits(dialect))
     , queue(initialSlots)
+    , repeats(retry)
 {
 }
 
@@ -134,17 +140,30 @@
         return OfferEnd::Leaving;
     }
     this->queue.setSlots(own->slots);
+    if (offer.isRepeat && !this->takeRepeat(offer, own->service, now)) {
+        return OfferEnd::RepeatLimit;
+    }
     if (offer.acceptsGray || this->isTrusted(offer, now)) {
         return OfferEnd::Answered;
     }
-    if (!offer.idempotent || now - this->lastTrial < trialInterval) {
-        retryAfter = offer.idempotent ? this->lastTrial + trialInterval - now : trialInterval;
+    if (!offer.mayTry || now - this->lastTrial < trialInterval) {
+        retryAfter = std::max<Duration>(this->lastTrial + trialInterval - now, trialInterval / 4);
         return OfferEnd::Ejected;
     }
     this->lastTrial = now;
     return OfferEnd::Answered;
 }
 
+bool HomeService::takeRepeat(const Offer &offer, std::string_view service, TimePoint now)
+{
+    std::size_t upstreams = 0;
+    for (const auto &[id, entry] : this->view.entries()) {
+        upstreams += entry.service == service ? 1 : 0;
+    }
+    const bool isUrgent = offer.nested || offer.priority <= urgentPriority;
+    return this->repeats.tryRepeat(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency);
+}
+
 bool HomeService::isTrusted(const Offer &offer, TimePoint now) const
 {
     return this->grayProbability(offer.failureDomain, now) <= (offer.idempotent ? ejectionLimit : onceOnlyLimit);
@@ -273,6 +292,9 @@
     const ScopeGuard finished([this, ticket] {
         this->runs.erase(ticket);
     });
+    if (!offer.isRepeat) {
+        this->repeats.onRequest(started);
+    }
     const PeerRequest request = this->toUpstreamRequest(offer, std::move(call.request), deadline - started);
     UpstreamCall upstreamCall;
     if (offer.idempotent) {
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -6,6 +6,7 @@
 #include <galenarack/peer/peersession.h>
 #include <galenarack/policy/admissionqueue.h>
 #include <galenarack/policy/movingshare.h>
+#include <galenarack/policy/retryallowance.h>
 #include <galenarack/policy/trustfilter.h>
 #include <galenarack/proxy/dialect.h>
 #include <galenarack/proxy/offer.h>
@@ -27,10 +28,12 @@
 public:
     /// @param vm address of this VM, by which the upstream's entry is found
     /// @param upstream address of the upstream on this VM
+    /// @param retry bound on repeats of the whole fleet
     HomeService(boost::asio::any_io_executor executor,
                 boost::asio::ip::address vm,
                 const boost::asio::ip::tcp::endpoint &upstream,
                 const Dialect &dialect,
+                const RetryBound &retry,
                 const FleetView &view);
 
     /// Answers an offer. The response carries an OfferReport.
@@ -77,6 +80,7 @@
     boost::asio::awaitable<OfferEnd> waitForSlot(const AdmissionRequest &request, PeerCall &call, Duration &retryAfter, const Offer &offer);
     boost::asio::awaitable<PeerResponse> run(const Offer &offer, PeerCall &call, TimePoint deadline, std::uint64_t ticket);
     OfferEnd admissionOf(const Offer &offer, TimePoint now, Duration &retryAfter);
+    bool takeRepeat(const Offer &offer, std::string_view service, TimePoint now);
     bool isTrusted(const Offer &offer, TimePoint now) const;
     OfferEnd classify(const absl::StatusOr<PeerResponse> &response) const;
     void learn(const Offer &offer, OfferEnd end, unsigned status, TimePoint started, TimePoint now);
@@ -101,6 +105,7 @@
     double slowness = 1; ///< Moving average of actual over usual duration.
     TimePoint lastTrial;
     TimePoint lastNestedFailure;
+    RetryAllowance repeats;
     MovingShare shed; ///< Of the requests that the upstream rejects.
     std::optional<TimePoint> drainEnd; ///< Set while the node is leaving.
     Log log{"home"};
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t offerParts = 8;
 constexpr std::size_t reportParts = 9;
 
-constexpr std::array<std::string_view, 10> endNames
-    = {"answered", "busy", "ejected", "leaving", "expired", "rejected", "unconnected", "broken", "timed-out", "withdrawn"};
+constexpr std::array<std::string_view, 11> endNames
+    = {"answered", "busy", "ejected", "leaving", "expired", "rejected", "unconnected", "broken", "timed-out", "repeat-limit", "withdrawn"};
 
 std::int64_t toMs(Duration duration)
 {
@@ -74,6 +74,8 @@
 constexpr std::int64_t idempotentFlag = 1;
 constexpr std::int64_t nestedFlag = 2;
 constexpr std::int64_t acceptsGrayFlag = 4;
+constexpr std::int64_t mayTryFlag = 8;
+constexpr std::int64_t repeatFlag = 16;
 
 } // namespace
 
@@ -84,8 +86,9 @@
 
 void Offer::appendTo(HeaderList &headers) const
 {
-    const std::int64_t flags
-        = (this->idempotent ? idempotentFlag : 0) | (this->nested ? nestedFlag : 0) | (this->acceptsGray ? acceptsGrayFlag : 0);
+    const std::int64_t flags = (this->idempotent ? idempotentFlag : 0) | (this->nested ? nestedFlag : 0)
+                               | (this->acceptsGray ? acceptsGrayFlag : 0) | (this->mayTry ? mayTryFlag : 0)
+                               | (this->isRepeat ? repeatFlag : 0);
     headers.add(offerField,
                 absl::StrCat(this->upstream,
                              " ",
@@ -116,6 +119,8 @@
     offer.idempotent = (flags & idempotentFlag) != 0;
     offer.nested = (flags & nestedFlag) != 0;
     offer.acceptsGray = (flags & acceptsGrayFlag) != 0;
+    offer.mayTry = (flags & mayTryFlag) != 0;
+    offer.isRepeat = (flags & repeatFlag) != 0;
     offer.priority = static_cast<std::uint32_t>(offerReader.number());
     offer.remaining = offerReader.duration();
     offer.untilTarget = offerReader.duration();
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -21,6 +21,8 @@
     bool idempotent = false;
     bool nested = false; ///< Sent by an upstream while it runs other work.
     bool acceptsGray = false; ///< No better upstream is left: run it even without trust in this one.
+    bool mayTry = false; ///< It can be sent again if it fails, so it may show whether an ejected upstream has recovered.
+    bool isRepeat = false; ///< It has reached an upstream before.
     std::uint32_t priority = 0;
     Duration remaining{}; ///< Until the deadline.
     Duration untilTarget{}; ///< Until the response has lost its full value; zero when it has already.
@@ -47,6 +49,7 @@
     Unconnected, ///< The upstream accepts no connection; the request has not been run.
     Broken, ///< The request was sent, and no valid response came.
     TimedOut, ///< The request was sent, and no response came before the deadline.
+    RepeatLimit, ///< Handed back: the upstream has got its share of repeats.
     Withdrawn, ///< The ingress took it back before it was run.
 };
 
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -44,7 +44,6 @@
     router.service = settings.homeUpstreams.front().name;
     router.failureDomain = settings.failureDomain;
     router.vm = settings.peerAddress.address();
-    router.retry = settings.bounds.retry;
     return router;
 }
 
@@ -57,7 +56,12 @@
     , dialect(Platform::dialect())
     , registryClient(context.get_executor(), registrySettings(settings))
     , follower(context.get_executor(), this->registryClient, this->view, FollowerSettings(), std::mt19937_64(this->random()))
-    , home(context.get_executor(), settings.peerAddress.address(), settings.homeUpstreams.front().address, this->dialect, this->view)
+    , home(context.get_executor(),
+           settings.peerAddress.address(),
+           settings.homeUpstreams.front().address,
+           this->dialect,
+           settings.bounds.retry,
+           this->view)
     , links(context.get_executor(),
             settings.peerAddress.port(),
             [this](std::shared_ptr<PeerCall> call) {
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -33,9 +33,6 @@
 constexpr double hedgeFactor = 2.5;
 constexpr Duration hedgeLeast = std::chrono::milliseconds(80);
 
-/// Part of the retry allowance that requests of lower priority leave to more urgent ones.
-constexpr double lowPriorityUrgency = 0.7;
-
 /// A caller honours a Retry-After of at most a third of the time that it has left.
 constexpr int retryAfterShare = 3;
 constexpr Duration retryAfterLeast = std::chrono::milliseconds(100);
@@ -127,15 +124,9 @@
     course.deadline = now + allowed;
     course.targetBy = now + route.targetLatency;
     course.expected = this->durations.usual(route.name, route.targetLatency);
-    this->allowanceOf(course.service).onRequest(now);
     return true;
 }
 
-RetryAllowance &RequestRouter::allowanceOf(const std::string &service)
-{
-    return this->allowances.try_emplace(service, this->settings.retry).first->second;
-}
-
 void RequestRouter::refreshEntries(TimePoint now)
 {
     if (this->viewGeneration == this->view.generation()) {
@@ -260,8 +251,7 @@
     request.idempotent = course.route->idempotent;
     request.expected = course.expected;
     request.target = course.route->targetLatency;
-    request.mayTry = request.idempotent && !isHedge && course.offers == 0
-                     && this->allowanceOf(course.service).remaining(now, this->view.entries().size(), lowPriorityUrgency) >= 1;
+    request.mayTry = request.idempotent && !isHedge && course.offers == 0 && course.route->maxAttempts > 1;
     if (course.sentTo.size() >= course.route->maxAttempts) {
         return this->chooseRejecting(course, now);
     }
@@ -270,6 +260,7 @@
         excluded.push_back(handBack.upstream);
     }
     Target target;
+    target.mayTry = request.mayTry;
     target.patience = isHedge ? Duration::zero() : std::chrono::duration_cast<Duration>(course.route->targetLatency * patienceShare);
     if (course.handBacks.size() < offersBeforeQueueing) {
         target.belief = this->placement.choose(request, excluded, now);
@@ -358,6 +349,8 @@
     offer.idempotent = course.route->idempotent;
     offer.nested = course.nested;
     offer.acceptsGray = target.acceptsGray;
+    offer.mayTry = target.mayTry;
+    offer.isRepeat = !course.sentTo.empty() || course.hedged;
     offer.priority = course.route->priority;
     offer.remaining = course.deadline - now;
     offer.untilTarget = std::max(course.targetBy - now, Duration::zero());
@@ -466,6 +459,7 @@
     case OfferEnd::Leaving:
     case OfferEnd::Expired:
     case OfferEnd::Unconnected:
+    case OfferEnd::RepeatLimit:
         return this->afterHandBack(course, attempt);
     case OfferEnd::Rejected:
         return this->afterArrival(course, attempt, false);
@@ -519,18 +513,14 @@
     return this->mayRepeat(course) ? NextStep::TryNext : NextStep::Fail;
 }
 
-bool RequestRouter::mayRepeat(Course &course)
+bool RequestRouter::mayRepeat(const Course &course) const
 {
     // Attempts that are open count as arrivals as well.
     std::size_t upstreams = course.sentTo.size();
     for (const auto &attempt : course.attempts) {
         upstreams += attempt->done ? 0 : 1;
     }
-    if (upstreams >= course.route->maxAttempts && course.rejecting.empty()) {
-        return false;
-    }
-    const bool isUrgent = course.nested || course.route->priority <= 1;
-    return this->allowanceOf(course.service).tryRepeat(NodeClock::now(), this->view.entries().size(), isUrgent ? 1.0 : lowPriorityUrgency);
+    return upstreams < course.route->maxAttempts || !course.rejecting.empty();
 }
 
 PeerResponse RequestRouter::respond(const Course &course, Attempt &attempt)
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -5,7 +5,6 @@
 #include <galenarack/ingress/requestforwarder.h>
 #include <galenarack/policy/durationestimate.h>
 #include <galenarack/policy/placement.h>
-#include <galenarack/policy/retryallowance.h>
 #include <galenarack/policy/weightedsplit.h>
 #include <galenarack/proxy/dialect.h>
 #include <galenarack/proxy/homeservice.h>
@@ -29,7 +28,6 @@
     std::string service; ///< Of the upstream on this VM; every request that begins here is attributed to it.
     std::string failureDomain;
     boost::asio::ip::address vm;
-    RetryBound retry;
 };
 
 /// Takes a caller's request through the fleet: route, choice of upstream, offers to homes, repeats and hedges.
@@ -89,6 +87,7 @@
         UpstreamBelief *belief = nullptr;
         Duration patience{}; ///< Longest wait for a slot there.
         bool acceptsGray = false;
+        bool mayTry = false;
     };
 
     /// One caller's request on its way.
@@ -146,7 +145,7 @@
     NextStep judge(Course &course, Attempt &attempt);
     NextStep afterHandBack(Course &course, const Attempt &attempt);
     NextStep afterArrival(Course &course, const Attempt &attempt, bool mayHaveRun);
-    bool mayRepeat(Course &course);
+    bool mayRepeat(const Course &course) const;
     bool isWorking(const Course &course) const;
     bool hasOpenAttempt(const Course &course) const;
     boost::asio::awaitable<PeerResponse> runHere(Attempt &attempt, PeerRequest request);
@@ -155,7 +154,6 @@
     PeerResponse fail(Course &course, bool timedOut);
     PeerResponse refuse(const Course &course, ErrorKind kind, Duration retryAfter) const;
     void withdrawAll(Course &course);
-    RetryAllowance &allowanceOf(const std::string &service);
     void refreshEntries(TimePoint now);
 
     boost::asio::any_io_executor executor;
@@ -167,7 +165,6 @@
     std::mt19937_64 random;
     Placement placement;
     DurationEstimate durations;
-    std::map<std::string, RetryAllowance, std::less<>> allowances; ///< By service.
     std::map<std::string, WeightedSplit, std::less<>> splits; ///< By route.
     std::uint64_t viewGeneration = 0;
     std::set<std::shared_ptr<Course>> open;
