Try ejected upstreams every 1.5 s, and return them after a few successes

Change: a trial each 1.5 s; after a success the next one need not wait, and the trust filter forgets a failure within two or three successes. Ruled out: the number of cut connections, which is that of sound upstreams.

--- a/galenarack/policy/trustfilter.cpp
+++ b/galenarack/policy/trustfilter.cpp
@@ -27,7 +27,7 @@
 {
     // Bounds keep later evidence able to change the verdict within a few requests.
     constexpr double least = 0.005;
-    constexpr double most = 0.995;
+    constexpr double most = 0.97;
     const double prior = this->grayProbability(now);
     double likelihoodGray = 1.0 - this->model.failsWhenGray;
     double likelihoodSound = 1.0 - this->model.failsWhenSound;
--- a/galenarack/policy/trustfilter.h
+++ b/galenarack/policy/trustfilter.h
@@ -14,7 +14,7 @@
 /// Rates of the two-state model behind a TrustFilter.
 struct TrustModel
 {
-    double failsWhenGray = 0.7; ///< Share of requests that a gray upstream fails.
+    double failsWhenGray = 0.8; ///< Share of requests that a gray upstream fails.
     double failsWhenSound = 0.015; ///< Share that a sound upstream fails.
     double overdueWhenGray = 0.4;
     double overdueWhenSound = 0.02;
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -24,7 +24,7 @@
 constexpr double ejectionLimit = 0.6;
 
 /// An ejected upstream takes one idempotent request in this time to show whether it has recovered.
-constexpr Duration trialInterval = std::chrono::milliseconds(600);
+constexpr Duration trialInterval = std::chrono::milliseconds(1500);
 
 /// Requests of lower priority than this leave part of the allowance for repeats to more urgent ones.
 constexpr std::uint32_t urgentPriority = 1;
@@ -147,7 +147,7 @@
         return OfferEnd::Answered;
     }
     if (!offer.mayTry || now - this->lastTrial < trialInterval) {
-        retryAfter = std::max<Duration>(this->lastTrial + trialInterval - now, trialInterval / 4);
+        retryAfter = std::max<Duration>(this->lastTrial + trialInterval - now, trialInterval / 8);
         return OfferEnd::Ejected;
     }
     this->lastTrial = now;
@@ -309,16 +309,19 @@
     const TimePoint now = NodeClock::now();
     const OfferEnd end = call.cancellation.isRequested() && !response.ok() ? OfferEnd::Withdrawn : this->classify(response);
     this->learn(offer, end, response.ok() ? response->status : 0, started, now);
-    if (end != OfferEnd::Answered) {
-        this->log.info(
-            "run ended",
-            {{"request_id", offer.requestId},
-             {"upstream", offer.upstream},
-             {"outcome", offerEndName(end)},
-             {"detail", response.ok() ? std::string("status ") + std::to_string(response->status) : messageOf(response.status())},
-             {"ran_ms", toMilliseconds(now) - toMilliseconds(started)},
-             {"gray", this->grayProbability(offer.failureDomain, now)}});
-    }
+    this->log.write(end == OfferEnd::Answered ? LogLevel::Debug : LogLevel::Info,
+                    "run ended",
+                    {{"request_id", offer.requestId},
+                     {"upstream", offer.upstream},
+                     {"outcome", offerEndName(end)},
+                     {"detail", response.ok() ? std::string("status ") + std::to_string(response->status) : messageOf(response.status())},
+                     {"waited_ms", toMilliseconds(started) - (toMilliseconds(deadline) - toMilliseconds(TimePoint(offer.remaining)))},
+                     {"ran_ms", toMilliseconds(now) - toMilliseconds(started)},
+                     {"running", static_cast<std::int64_t>(this->queue.running())},
+                     {"waiting", static_cast<std::int64_t>(this->queue.waiting())},
+                     {"idempotent", offer.idempotent ? "yes" : "no"},
+                     {"caller_domain", offer.failureDomain},
+                     {"gray", this->grayProbability(offer.failureDomain, now)}});
     PeerResponse answer = end == OfferEnd::Answered ? std::move(*response) : PeerResponse();
     OfferReport report;
     report.end = end;
@@ -360,6 +363,8 @@
     case OfferEnd::Answered:
         if (status < serverError) {
             filter.observe(TrustEvidence::Success, now);
+            // The next trial need not wait, so that a recovered upstream is back after a few requests.
+            this->lastTrial = now - trialInterval;
             const double ratio = std::chrono::duration<double>(now - started)
                                  / std::max<std::chrono::duration<double>>(offer.expected, std::chrono::milliseconds(1));
             this->slowness += slownessWeight * (std::clamp(ratio, 0.25, 8.0) - this->slowness);
