Hand back the queue of a leaving upstream; count a repeat when it is run

Nested requests were denied repeats while few were used: each home that was asked counted one, also when it handed the request back for another reason. Change: the home looks at the entry of its upstream on each tick and hands back what waits; a repeat is counted when it reaches the upstream; a wait of more than 0.4 of the target is refused. Ruled out: a late view of the entry: the home knew it within 0.4 s.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -52,14 +52,9 @@
     return urgency * plannedShare * (this->bound.ratio * requests + slack) - repeats;
 }
 
-bool RetryAllowance::tryRepeat(TimePoint now, std::size_t upstreams, double urgency)
+void RetryAllowance::onRepeat(TimePoint now)
 {
-    // A fraction left is rounded up, so that an upstream with little traffic can take a first repeat.
-    if (this->remaining(now, upstreams, urgency) <= 0) {
-        return false;
-    }
     ++this->bucketAt(now).repeats;
-    return true;
 }
 
 } // namespace Galenarack
--- a/galenarack/policy/retryallowance.h
+++ b/galenarack/policy/retryallowance.h
@@ -28,12 +28,13 @@
     /// A request reaches the upstream for the first time.
     void onRequest(TimePoint now);
 
-    /// Asks for one repeated arrival.
+    /// A repeat reaches the upstream.
+    void onRepeat(TimePoint now);
+
     /// @param upstreams of the service
     /// @param urgency share of the allowance that this kind of request may use up, 0 to 1
-    [[nodiscard]] bool tryRepeat(TimePoint now, std::size_t upstreams, double urgency);
-
-    /// @return repeats that are left in the window
+    /// @return repeats that are left in the window; a fraction counts as one, so that an upstream with little traffic can take
+    ///         a first repeat
     double remaining(TimePoint now, std::size_t upstreams, double urgency) const;
 
 private:
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -134,13 +134,12 @@
 OfferEnd HomeService::admissionOf(const Offer &offer, TimePoint now, Duration &retryAfter)
 {
     const UpstreamEntry *own = this->entry();
-    const bool isLeaving = this->drainEnd && now + offer.expected * drainSafety > *this->drainEnd;
-    if (isLeaving || own == nullptr || own->id != offer.upstream || own->draining) {
+    if (this->isLeaving(offer, now)) {
         retryAfter = leavingPause;
         return OfferEnd::Leaving;
     }
     this->queue.setSlots(own->slots);
-    if (offer.isRepeat && !this->takeRepeat(offer, own->service, now)) {
+    if (offer.isRepeat && !this->mayRepeat(offer, own->service, now)) {
         return OfferEnd::RepeatLimit;
     }
     if (offer.acceptsGray || this->isTrusted(offer, now)) {
@@ -154,14 +153,21 @@
     return OfferEnd::Answered;
 }
 
-bool HomeService::takeRepeat(const Offer &offer, std::string_view service, TimePoint now)
+bool HomeService::isLeaving(const Offer &offer, TimePoint now) const
+{
+    const UpstreamEntry *own = this->entry();
+    const bool endsTooLate = this->drainEnd && now + offer.expected * drainSafety > *this->drainEnd;
+    return endsTooLate || own == nullptr || own->id != offer.upstream || own->draining;
+}
+
+bool HomeService::mayRepeat(const Offer &offer, std::string_view service, TimePoint now) const
 {
     std::size_t upstreams = 0;
     for (const auto &[id, entry] : this->view.entries()) {
         upstreams += entry.service == service ? 1 : 0;
     }
     const bool isUrgent = offer.nested || offer.priority <= urgentPriority;
-    return this->repeats.tryRepeat(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency);
+    return this->repeats.remaining(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency) > 0;
 }
 
 bool HomeService::isTrusted(const Offer &offer, TimePoint now) const
@@ -229,12 +235,13 @@
     }
     const auto waiter = std::make_shared<Waiter>(this->executor);
     this->waiters.emplace(request.ticket, waiter);
+    waiter->offer = offer;
     this->queue.push(request);
     call.cancellation.setAction([waiter] {
         waiter->signal.cancel();
     });
     this->advance(now);
-    while (!waiter->granted && !waiter->expired && !call.cancellation.isRequested()) {
+    while (!waiter->granted && !waiter->expired && !waiter->handedBack && !call.cancellation.isRequested()) {
         co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     call.cancellation.setAction(nullptr);
@@ -243,6 +250,10 @@
         co_return OfferEnd::Answered;
     }
     this->queue.remove(request.ticket);
+    if (waiter->handedBack) {
+        retryAfter = leavingPause;
+        co_return OfferEnd::Leaving;
+    }
     co_return waiter->expired ? OfferEnd::Expired : OfferEnd::Withdrawn;
 }
 
@@ -292,7 +303,9 @@
     const ScopeGuard finished([this, ticket] {
         this->runs.erase(ticket);
     });
-    if (!offer.isRepeat) {
+    if (offer.isRepeat) {
+        this->repeats.onRepeat(started);
+    } else {
         this->repeats.onRequest(started);
     }
     const PeerRequest request = this->toUpstreamRequest(offer, std::move(call.request), deadline - started);
@@ -395,6 +408,13 @@
             this->trustOf(run.failureDomain).observe(TrustEvidence::Overdue, now);
         }
     }
+    // A leaving upstream gets no work from its queue either.
+    for (const auto &[ticket, waiter] : this->waiters) {
+        if (!waiter->granted && this->isLeaving(waiter->offer, now)) {
+            waiter->handedBack = true;
+            waiter->signal.cancel();
+        }
+    }
     this->advance(now);
 }
 
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -66,6 +66,8 @@
         boost::asio::steady_timer signal; ///< Never expires by itself; cancelled to wake the offer.
         bool granted = false;
         bool expired = false;
+        bool handedBack = false; ///< The upstream or the node is leaving.
+        Offer offer;
     };
 
     /// A request that the upstream works on.
@@ -80,7 +82,8 @@
     boost::asio::awaitable<OfferEnd> waitForSlot(const AdmissionRequest &request, PeerCall &call, Duration &retryAfter, const Offer &offer);
     boost::asio::awaitable<PeerResponse> run(const Offer &offer, PeerCall &call, TimePoint deadline, std::uint64_t ticket);
     OfferEnd admissionOf(const Offer &offer, TimePoint now, Duration &retryAfter);
-    bool takeRepeat(const Offer &offer, std::string_view service, TimePoint now);
+    bool mayRepeat(const Offer &offer, std::string_view service, TimePoint now) const;
+    bool isLeaving(const Offer &offer, TimePoint now) const;
     bool isTrusted(const Offer &offer, TimePoint now) const;
     OfferEnd classify(const absl::StatusOr<PeerResponse> &response) const;
     void learn(const Offer &offer, OfferEnd end, unsigned status, TimePoint started, TimePoint now);
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -27,7 +27,7 @@
 
 /// Longest wait for a slot that a request accepts, as a share of its latency target. A queue that is longer serves nobody
 /// better: it only makes every response late.
-constexpr double longestWaitShare = 1.0;
+constexpr double longestWaitShare = 0.4;
 
 /// An idempotent request is sent to a second upstream after this many times its usual duration without a response.
 constexpr double hedgeFactor = 2.5;
