Order waiting requests by route, and refuse what would wait too long at once

They were ordered by each node's own estimate of their duration, so small differences starved some; every request counted as nested, since clients call from the address of their VM as upstreams do, and had no bound on its wait; the wait for the first free slot was estimated as the whole work of all slots divided by them. Change: order by priority and target of the route, oldest first within a route; one bound for all waits; the first free slot is expected after the mean duration divided by one more than the slots. A failed run is excused only by a request of the VM that began and failed while it ran. Ruled out: late requests after fresh ones, which starves those that waited.

--- a/galenarack/policy/admissionqueue.cpp
+++ b/galenarack/policy/admissionqueue.cpp
@@ -10,17 +10,11 @@
 /// A request that has less time left than this share of its usual duration is not started.
 constexpr double leastShareOfDuration = 0.5;
 
-/// Value of a response after its target, as a share of its full value.
-constexpr double lateValue = 0.4;
-
 /// Each step of priority is worth this factor, so that an urgent request outranks a shorter one of less urgency.
 constexpr double priorityFactor = 2.0;
 
-/// Lifts nested requests above all others of the same duration: the slot that their parent holds is lost while they wait.
-constexpr double nestedFactor = 8.0;
-
-/// Work shorter than this is not ranked higher still; the differences are below the accuracy of the estimates.
-constexpr double shortestWorkSeconds = 0.02;
+/// Routes with shorter targets than this are not ranked higher still.
+constexpr double shortestTargetSeconds = 0.05;
 
 double seconds(Duration duration)
 {
@@ -35,19 +29,13 @@
 
 } // namespace
 
-double valueDensity(const AdmissionRequest &request, TimePoint now)
+double valueDensity(const AdmissionRequest &request)
 {
     double value = 1.0;
     for (std::uint32_t step = 0; step < std::min(request.priority, 8U); ++step) {
         value /= priorityFactor;
     }
-    if (request.nested) {
-        value *= nestedFactor;
-    }
-    if (now + request.expected > request.targetBy) {
-        value *= lateValue;
-    }
-    return value / std::max(seconds(request.expected), shortestWorkSeconds);
+    return value / std::max(seconds(request.target), shortestTargetSeconds);
 }
 
 AdmissionQueue::AdmissionQueue(std::uint32_t slots)
@@ -92,8 +80,8 @@
         return expired;
     });
     while (this->active.size() < this->slots && !this->queue.empty()) {
-        const auto best = std::ranges::max_element(this->queue, {}, [now](const AdmissionRequest &request) {
-            return valueDensity(request, now);
+        const auto best = std::ranges::max_element(this->queue, {}, [](const AdmissionRequest &request) {
+            return valueDensity(request);
         });
         this->active.push_back({best->ticket, now, best->expected});
         outcome.granted.push_back(best->ticket);
@@ -107,19 +95,22 @@
     if (this->active.size() < this->slots && this->queue.empty()) {
         return Duration::zero();
     }
-    // Work past its usual duration is expected to need another half of it.
-    Duration ahead{};
-    for (const Running &running : this->active) {
-        ahead += std::max(running.started + running.expected - now, running.expected / 2);
+    // With all slots busy for independent times, the first one is free after about their mean divided by one more than the
+    // number of slots; from then on slots are free at the rate at which work ends.
+    Duration running{};
+    for (const Running &run : this->active) {
+        running += std::max(run.expected, now - run.started);
     }
-    const double density = valueDensity(request, now);
+    const double density = valueDensity(request);
+    Duration ahead{};
     for (const AdmissionRequest &other : this->queue) {
-        if (valueDensity(other, now) >= density) {
+        if (valueDensity(other) >= density) {
             ahead += other.expected;
         }
     }
-    // All slots busy: the first one to end is about one part of the work ahead away.
-    return ahead / std::max(this->slots, 1U);
+    const std::uint32_t busy = std::max<std::uint32_t>(static_cast<std::uint32_t>(this->active.size()), 1);
+    const Duration first = this->active.size() < this->slots ? Duration::zero() : running / busy / (busy + 1);
+    return first + ahead / std::max(this->slots, 1U);
 }
 
 } // namespace Galenarack
--- a/galenarack/policy/admissionqueue.h
+++ b/galenarack/policy/admissionqueue.h
@@ -14,9 +14,8 @@
 {
     std::uint64_t ticket = 0; ///< Names the request.
     std::uint32_t priority = 0; ///< Of its route; 0 is the most urgent.
-    bool nested = false; ///< Sent by an upstream while it runs other work, which holds a slot meanwhile.
     Duration expected{}; ///< Usual duration of the work.
-    TimePoint targetBy; ///< A response by then has its full value.
+    Duration target{}; ///< Latency target of its route: short for short work.
     TimePoint deadline; ///< A response after it has none.
 };
 
@@ -29,9 +28,10 @@
 
 /// Order in which requests wait for the slots of one upstream.
 ///
-/// Answers overload, when more work arrives than the slots can finish: the next slot goes to the request with the highest
-/// value per second of slot time. Nested requests go first, since work that already holds a slot elsewhere waits for them;
-/// a request past its target goes after those that can still meet theirs; one that can no longer meet its deadline leaves.
+/// Answers overload, when more work arrives than the slots can finish: the next slot goes to the route with the highest value
+/// per second of slot time, within a route to the oldest request. The target of the route stands for the slot time: estimates
+/// differ between nodes, and an order by them would let small differences starve a request. Work that other work waits for is
+/// short and urgent, so it goes first. A request that can no longer meet its deadline leaves.
 class AdmissionQueue
 {
 public:
@@ -86,6 +86,6 @@
 };
 
 /// @return value that a request earns per second of slot time; the order of an AdmissionQueue
-double valueDensity(const AdmissionRequest &request, TimePoint now);
+double valueDensity(const AdmissionRequest &request);
 
 } // namespace Galenarack
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -101,7 +101,6 @@
     beast::flat_buffer buffer;
     asio::steady_timer changed; ///< Cancelled when a response is ready, was sent, or the connection ends.
     std::deque<std::shared_ptr<Pending>> pending;
-    bool local = false; ///< The caller is on this VM.
     bool reading = false; ///< Bytes of a request have come and the rest has not.
     bool ended = false; ///< No further request will be read.
     bool closing = false; ///< The last response was sent; requests behind it are not run.
@@ -126,12 +125,8 @@
 
 void CallerServer::accept(asio::ip::tcp::socket socket)
 {
-    boost::system::error_code ignored;
-    const auto remote = socket.remote_endpoint(ignored).address();
-    const auto local = socket.local_endpoint(ignored).address();
     detectSilence(socket);
     const auto connection = std::make_shared<Connection>(std::move(socket), this->executor);
-    connection->local = remote == local;
     connection->since = NodeClock::now();
     this->connections.push_back(connection);
     asio::co_spawn(
@@ -247,7 +242,7 @@
 
 asio::awaitable<void> CallerServer::answer(std::shared_ptr<Connection> connection, std::shared_ptr<Pending> pending, CallerRequest request)
 {
-    pending->response = co_await this->handler(std::move(request), pending->cancellation, connection->local);
+    pending->response = co_await this->handler(std::move(request), pending->cancellation);
     pending->answered = true;
     connection->changed.cancel();
 }
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -26,9 +26,7 @@
 {
 public:
     /// Answers one request.
-    /// @param local the caller is on this VM
-    using Handler
-        = std::function<boost::asio::awaitable<PeerResponse>(CallerRequest, std::shared_ptr<Cancellation> cancellation, bool local)>;
+    using Handler = std::function<boost::asio::awaitable<PeerResponse>(CallerRequest, std::shared_ptr<Cancellation> cancellation)>;
 
     /// @param limits in force at the moment
     CallerServer(boost::asio::any_io_executor executor, std::function<CallerLimits()> limits, Handler handler);
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -166,7 +166,7 @@
     for (const auto &[id, entry] : this->view.entries()) {
         upstreams += entry.service == service ? 1 : 0;
     }
-    const bool isUrgent = offer.nested || offer.priority <= urgentPriority;
+    const bool isUrgent = offer.priority <= urgentPriority;
     return this->repeats.remaining(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency) > 0;
 }
 
@@ -193,9 +193,8 @@
     AdmissionRequest request;
     request.ticket = this->nextTicket++;
     request.priority = offer->priority;
-    request.nested = offer->nested;
     request.expected = std::chrono::duration_cast<Duration>(offer->expected * this->slowness);
-    request.targetBy = arrival + offer->untilTarget;
+    request.target = offer->target;
     request.deadline = arrival + offer->remaining;
     const OfferEnd waited = co_await this->waitForSlot(request, *call, retryAfter, *offer);
     if (waited != OfferEnd::Answered) {
@@ -368,7 +367,7 @@
 void HomeService::learn(const Offer &offer, OfferEnd end, unsigned status, TimePoint started, TimePoint now)
 {
     TrustFilter &filter = this->trustOf(offer.failureDomain);
-    const bool nestedFailed = this->lastNestedFailure >= started;
+    const bool nestedFailed = this->lastFailureStarted >= started;
     if (end == OfferEnd::Answered || end == OfferEnd::Rejected) {
         this->shed.observe(end == OfferEnd::Rejected, now);
     }
@@ -394,9 +393,9 @@
     }
 }
 
-void HomeService::nestedRequestFailed(TimePoint now)
+void HomeService::requestFailed(TimePoint started)
 {
-    this->lastNestedFailure = now;
+    this->lastFailureStarted = std::max(this->lastFailureStarted, started);
 }
 
 void HomeService::tick(TimePoint now)
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -45,9 +45,10 @@
     /// The node is leaving: from now on takes only work that will have ended by a time.
     void drainUntil(TimePoint end);
 
-    /// Tells that a request which the upstream sent while it ran other work has failed, so the failure of that work is not
-    /// the upstream's own.
-    void nestedRequestFailed(TimePoint now);
+    /// Tells that a request from this VM has failed. The upstream may have sent it while it ran other work, so a failure of
+    /// work that was running then need not be the upstream's own.
+    /// @param started when the request was taken up
+    void requestFailed(TimePoint started);
 
     /// @return offers that are waiting or running
     std::size_t inProgress() const
@@ -107,7 +108,7 @@
     std::uint64_t nextTicket = 1;
     double slowness = 1; ///< Moving average of actual over usual duration.
     TimePoint lastTrial;
-    TimePoint lastNestedFailure;
+    TimePoint lastFailureStarted; ///< Latest start of a request from this VM that has failed.
     RetryAllowance repeats;
     MovingShare shed; ///< Of the requests that the upstream rejects.
     std::optional<TimePoint> drainEnd; ///< Set while the node is leaving.
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -72,7 +72,6 @@
 
 /// Bits of the flags in an offer.
 constexpr std::int64_t idempotentFlag = 1;
-constexpr std::int64_t nestedFlag = 2;
 constexpr std::int64_t acceptsGrayFlag = 4;
 constexpr std::int64_t mayTryFlag = 8;
 constexpr std::int64_t repeatFlag = 16;
@@ -86,9 +85,8 @@
 
 void Offer::appendTo(HeaderList &headers) const
 {
-    const std::int64_t flags = (this->idempotent ? idempotentFlag : 0) | (this->nested ? nestedFlag : 0)
-                               | (this->acceptsGray ? acceptsGrayFlag : 0) | (this->mayTry ? mayTryFlag : 0)
-                               | (this->isRepeat ? repeatFlag : 0);
+    const std::int64_t flags = (this->idempotent ? idempotentFlag : 0) | (this->acceptsGray ? acceptsGrayFlag : 0)
+                               | (this->mayTry ? mayTryFlag : 0) | (this->isRepeat ? repeatFlag : 0);
     headers.add(offerField,
                 absl::StrCat(this->upstream,
                              " ",
@@ -100,7 +98,7 @@
                              " ",
                              toMs(this->remaining),
                              " ",
-                             toMs(this->untilTarget),
+                             toMs(this->target),
                              " ",
                              toMs(this->expected),
                              " ",
@@ -117,13 +115,12 @@
     offer.requestId = offerReader.text();
     const std::int64_t flags = offerReader.number();
     offer.idempotent = (flags & idempotentFlag) != 0;
-    offer.nested = (flags & nestedFlag) != 0;
     offer.acceptsGray = (flags & acceptsGrayFlag) != 0;
     offer.mayTry = (flags & mayTryFlag) != 0;
     offer.isRepeat = (flags & repeatFlag) != 0;
     offer.priority = static_cast<std::uint32_t>(offerReader.number());
     offer.remaining = offerReader.duration();
-    offer.untilTarget = offerReader.duration();
+    offer.target = offerReader.duration();
     offer.expected = offerReader.duration();
     offer.patience = offerReader.duration();
     offer.callerService = originReader.text();
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -19,13 +19,12 @@
     std::string upstream; ///< Id of the upstream that is to run it.
     std::string requestId; ///< Of the caller.
     bool idempotent = false;
-    bool nested = false; ///< Sent by an upstream while it runs other work.
     bool acceptsGray = false; ///< No better upstream is left: run it even without trust in this one.
     bool mayTry = false; ///< It can be sent again if it fails, so it may show whether an ejected upstream has recovered.
     bool isRepeat = false; ///< It has reached an upstream before.
     std::uint32_t priority = 0;
     Duration remaining{}; ///< Until the deadline.
-    Duration untilTarget{}; ///< Until the response has lost its full value; zero when it has already.
+    Duration target{}; ///< Latency target of the route.
     Duration expected{}; ///< Usual duration of the work.
     Duration patience{}; ///< Longest wait for a slot; beyond it the home hands the request back.
     std::string callerService; ///< Service of the VM where the request began.
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -79,8 +79,8 @@
           [this] {
               return this->callerLimits();
           },
-          [this](CallerRequest request, std::shared_ptr<Cancellation> cancellation, bool local) {
-              return this->router.route(std::move(request), std::move(cancellation), local, this->follower.inContact());
+          [this](CallerRequest request, std::shared_ptr<Cancellation> cancellation) {
+              return this->router.route(std::move(request), std::move(cancellation), this->follower.inContact());
           })
     , timer(context)
 {
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -29,6 +29,9 @@
 /// better: it only makes every response late.
 constexpr double longestWaitShare = 0.4;
 
+/// A wait of this length is accepted for every route: estimates are not exact enough to refuse for less.
+constexpr Duration alwaysUsefulWait = std::chrono::milliseconds(200);
+
 /// An idempotent request is sent to a second upstream after this many times its usual duration without a response.
 constexpr double hedgeFactor = 2.5;
 constexpr Duration hedgeLeast = std::chrono::milliseconds(80);
@@ -67,7 +70,6 @@
 
 asio::awaitable<PeerResponse> RequestRouter::route(CallerRequest request,
                                                    std::shared_ptr<Cancellation> cancellation,
-                                                   bool nested,
                                                    bool isConfigCurrent)
 {
     const auto course = std::make_shared<Course>(this->executor, std::move(request));
@@ -76,7 +78,6 @@
         this->open.erase(course);
     });
     course->cancellation = std::move(cancellation);
-    course->nested = nested;
     PeerResponse refusal;
     if (!this->prepare(*course, refusal, isConfigCurrent)) {
         co_return refusal;
@@ -90,8 +91,8 @@
     });
     PeerResponse response = co_await this->run(course);
     course->cancellation->setAction(nullptr);
-    if (nested && response.status >= serverError) {
-        this->home.nestedRequestFailed(NodeClock::now());
+    if (response.status >= serverError) {
+        this->home.requestFailed(course->started);
     }
     co_return response;
 }
@@ -235,10 +236,7 @@
 Duration RequestRouter::longestWait(const Course &course, TimePoint now) const
 {
     const Duration left = course.deadline - now - course.expected;
-    if (course.nested) {
-        return std::max(left, Duration::zero());
-    }
-    const auto useful = std::chrono::duration_cast<Duration>(course.route->targetLatency * longestWaitShare);
+    const auto useful = std::chrono::duration_cast<Duration>(course.route->targetLatency * longestWaitShare) + alwaysUsefulWait;
     return std::max(std::min(left, useful), Duration::zero());
 }
 
@@ -347,13 +345,12 @@
     offer.upstream = target.belief->entry.id;
     offer.requestId = course.id;
     offer.idempotent = course.route->idempotent;
-    offer.nested = course.nested;
     offer.acceptsGray = target.acceptsGray;
     offer.mayTry = target.mayTry;
     offer.isRepeat = !course.sentTo.empty() || course.hedged;
     offer.priority = course.route->priority;
     offer.remaining = course.deadline - now;
-    offer.untilTarget = std::max(course.targetBy - now, Duration::zero());
+    offer.target = course.route->targetLatency;
     offer.expected = course.expected;
     offer.patience = target.patience;
     offer.callerService = this->settings.service;
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -42,12 +42,10 @@
                   PeerLinks &links,
                   std::mt19937_64 random);
 
-    /// @param nested sent by the upstream on this VM while it runs other work
     /// @param isConfigCurrent whether an unknown route is surely unknown to the operators as well
     /// @return the final response for the caller
     boost::asio::awaitable<PeerResponse> route(CallerRequest request,
                                                std::shared_ptr<Cancellation> cancellation,
-                                               bool nested,
                                                bool isConfigCurrent);
 
     /// Refuses the requests that no upstream works on: the node ends before they could be run.
@@ -103,7 +101,6 @@
         std::shared_ptr<const TrafficConfig> config;
         const TrafficRoute *route = nullptr;
         std::string service;
-        bool nested = false;
         TimePoint started;
         TimePoint deadline;
         TimePoint targetBy;
