Refuse new requests near the end of a leaving node

Change: from 2.8 s after SIGTERM a request is taken only when four times its usual duration fits before the end; others are refused as not run. Ruled out: the end of the process itself, which came at its time.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -11,13 +11,16 @@
 
 namespace asio = boost::asio;
 
-RegistryFollower::RegistryFollower(
-    asio::any_io_executor executor, Platform::RegistryClient &client, FleetView &view, FollowerSettings settings, std::mt19937_64 random)
+RegistryFollower::RegistryFollower(const asio::any_io_executor &executor,
+                                   Platform::RegistryClient &client,
+                                   FleetView &view,
+                                   FollowerSettings settings,
+                                   std::mt19937_64 random)
     : client(client)
     , view(view)
     , settings(settings)
     , random(random)
-    , timer(std::move(executor))
+    , timer(executor)
 {
 }
 
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -34,7 +34,7 @@
 class RegistryFollower
 {
 public:
-    RegistryFollower(boost::asio::any_io_executor executor,
+    RegistryFollower(const boost::asio::any_io_executor &executor,
                      Platform::RegistryClient &client,
                      FleetView &view,
                      FollowerSettings settings,
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -22,6 +22,9 @@
 /// Callers of this VM send new requests until two checks of readiness, a second apart, have failed.
 constexpr Duration announceTime = std::chrono::milliseconds(2600);
 
+/// Callers that still send after this time do not see the readiness; their work might not end before the process does.
+constexpr Duration lateRequestTime = std::chrono::milliseconds(2800);
+
 /// The process ends this long before it would be killed.
 constexpr Duration killMargin = std::chrono::milliseconds(300);
 
@@ -155,6 +158,9 @@
         return;
     }
     const Duration age = now - this->drainStarted;
+    if (age >= lateRequestTime) {
+        this->router.drainUntil(this->drainStarted + this->settings.bounds.terminationGrace - refusalMargin);
+    }
     const bool isIdle = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0;
     if (age < announceTime) {
         return;
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -40,6 +40,9 @@
 constexpr int retryAfterShare = 3;
 constexpr Duration retryAfterLeast = std::chrono::milliseconds(100);
 
+/// A leaving node takes a request when this many times its usual duration fits into the time that is left.
+constexpr int drainSafety = 4;
+
 constexpr unsigned serverError = 500;
 constexpr Duration defaultPatience = std::chrono::seconds(30);
 
@@ -68,9 +71,7 @@
 {
 }
 
-asio::awaitable<PeerResponse> RequestRouter::route(CallerRequest request,
-                                                   std::shared_ptr<Cancellation> cancellation,
-                                                   bool isConfigCurrent)
+asio::awaitable<PeerResponse> RequestRouter::route(CallerRequest request, std::shared_ptr<Cancellation> cancellation, bool isConfigCurrent)
 {
     const auto course = std::make_shared<Course>(this->executor, std::move(request));
     this->open.insert(course);
@@ -125,9 +126,18 @@
     course.deadline = now + allowed;
     course.targetBy = now + route.targetLatency;
     course.expected = this->durations.usual(route.name, route.targetLatency);
+    if (this->drainEnd && now + course.expected * drainSafety > *this->drainEnd) {
+        refusal = this->refuse(course, ErrorKind::Draining, *this->drainEnd - now);
+        return false;
+    }
     return true;
 }
 
+void RequestRouter::drainUntil(TimePoint end)
+{
+    this->drainEnd = end;
+}
+
 void RequestRouter::refreshEntries(TimePoint now)
 {
     if (this->viewGeneration == this->view.generation()) {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -44,9 +44,10 @@
 
     /// @param isConfigCurrent whether an unknown route is surely unknown to the operators as well
     /// @return the final response for the caller
-    boost::asio::awaitable<PeerResponse> route(CallerRequest request,
-                                               std::shared_ptr<Cancellation> cancellation,
-                                               bool isConfigCurrent);
+    boost::asio::awaitable<PeerResponse> route(CallerRequest request, std::shared_ptr<Cancellation> cancellation, bool isConfigCurrent);
+
+    /// The node is leaving: requests that come now are taken only if their work will surely have ended by a time.
+    void drainUntil(TimePoint end);
 
     /// Refuses the requests that no upstream works on: the node ends before they could be run.
     void refuseWaiting();
@@ -165,6 +166,7 @@
     std::map<std::string, WeightedSplit, std::less<>> splits; ///< By route.
     std::uint64_t viewGeneration = 0;
     std::set<std::shared_ptr<Course>> open;
+    std::optional<TimePoint> drainEnd; ///< Set when the node takes only work that ends by then.
     Log log{"router"};
 };
 
