Test the decisions of placement, waiting, trust and repeats

Tests without the bench: replayed overload on one upstream (guards against requests that are held and then refused), gray periods, the fleet's bound on repeats as a property, wire types with malformed entries.

--- /dev/null
+++ b/unittests/admissionqueuetest.cpp
@@ -0,0 +1,187 @@
+#include <galenarack/policy/admissionqueue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start(std::chrono::hours(1));
+
+AdmissionRequest requestOf(std::uint64_t ticket, std::uint32_t priority, Duration target, Duration expected, TimePoint deadline)
+{
+    AdmissionRequest request;
+    request.ticket = ticket;
+    request.priority = priority;
+    request.target = target;
+    request.expected = expected;
+    request.deadline = deadline;
+    return request;
+}
+
+struct OrderCase
+{
+    const char *name;
+    AdmissionRequest first; ///< Pushed first.
+    AdmissionRequest second;
+    std::uint64_t expected; ///< Ticket that gets the slot.
+};
+
+struct WaitCase
+{
+    const char *name;
+    std::uint32_t slots;
+    unsigned running;
+    unsigned waiting;
+    Duration least;
+    Duration most;
+};
+
+/// Load on one upstream in virtual time: random arrivals of one route whose nodes differ in their estimate of its duration.
+struct Replay
+{
+    std::uint32_t slots = 3;
+    double load = 1.2; ///< Work that arrives, as a multiple of what the slots can do.
+    Duration work = 240ms;
+    Duration target = 800ms;
+    Duration deadline = 3s;
+    Duration patience = 520ms; ///< Longest estimated wait that is accepted.
+};
+
+struct ReplayResult
+{
+    unsigned arrivals = 0;
+    unsigned onTime = 0;
+    unsigned late = 0;
+    unsigned refused = 0;
+    unsigned expired = 0; ///< Waited for nothing.
+};
+
+ReplayResult play(const Replay &replay, unsigned seed)
+{
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(replay.load * replay.slots / std::chrono::duration<double>(replay.work).count());
+    std::uniform_real_distribution<double> estimate(0.8, 1.25);
+    AdmissionQueue queue(replay.slots);
+    ReplayResult result;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    std::map<std::uint64_t, TimePoint> arrivals;
+    TimePoint now = start;
+    const auto advance = [&](TimePoint at) {
+        const AdmissionOutcome outcome = queue.advance(at);
+        for (const std::uint64_t ticket : outcome.granted) {
+            ends.emplace(at + replay.work, ticket);
+        }
+        result.expired += static_cast<unsigned>(outcome.expired.size());
+    };
+    for (std::uint64_t ticket = 1; ticket <= 4000; ++ticket) {
+        now += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto [end, ended] = *ends.begin();
+            ends.erase(ends.begin());
+            queue.release(ended);
+            (end - arrivals[ended] <= replay.target ? result.onTime : result.late) += 1;
+            advance(end);
+        }
+        ++result.arrivals;
+        arrivals[ticket] = now;
+        const auto expected = std::chrono::duration_cast<Duration>(replay.work * estimate(random));
+        const AdmissionRequest request = requestOf(ticket, 1, replay.target, expected, now + replay.deadline);
+        if (queue.estimateWait(request, now) > replay.patience) {
+            ++result.refused;
+            continue;
+        }
+        queue.push(request);
+        advance(now);
+    }
+    return result;
+}
+
+} // namespace
+
+class AdmissionQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdmissionQueueTest);
+    CPPUNIT_TEST(grantsByValue);
+    CPPUNIT_TEST(estimatesWait);
+    CPPUNIT_TEST(dropsWhatCannotEnd);
+    CPPUNIT_TEST(servesAcceptedRequestsUnderOverload);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against urgent or short work that waits behind long work, and against one node's estimate that starves another's.
+    void grantsByValue()
+    {
+        const TimePoint later = start + 10s;
+        const OrderCase cases[] = {
+            {"more urgent", requestOf(1, 2, 800ms, 300ms, later), requestOf(2, 1, 800ms, 300ms, later), 2},
+            {"shorter target", requestOf(1, 1, 1500ms, 600ms, later), requestOf(2, 1, 300ms, 100ms, later), 2},
+            {"oldest within a route", requestOf(1, 1, 800ms, 320ms, later), requestOf(2, 1, 800ms, 280ms, later), 1},
+        };
+        for (const OrderCase &row : cases) {
+            AdmissionQueue queue(1);
+            queue.push(row.first);
+            queue.push(row.second);
+            const AdmissionOutcome outcome = queue.advance(start);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t(1), outcome.granted.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expected, outcome.granted.front());
+        }
+    }
+
+    /// Guards against an estimate of the first free slot that counts the work of all slots.
+    void estimatesWait()
+    {
+        const WaitCase cases[] = {
+            {"free slot", 3, 2, 0, 0ms, 0ms},
+            {"all busy", 3, 3, 0, 50ms, 120ms},
+            {"many slots busy", 7, 7, 0, 20ms, 60ms},
+            {"three ahead", 3, 3, 3, 300ms, 420ms},
+        };
+        for (const WaitCase &row : cases) {
+            AdmissionQueue queue(row.slots);
+            for (std::uint64_t ticket = 1; ticket <= row.running + row.waiting; ++ticket) {
+                queue.push(requestOf(ticket, 1, 800ms, 300ms, start + 60s));
+            }
+            queue.advance(start);
+            const Duration wait = queue.estimateWait(requestOf(99, 1, 800ms, 300ms, start + 60s), start);
+            CPPUNIT_ASSERT_MESSAGE(row.name, wait >= row.least && wait <= row.most);
+        }
+    }
+
+    /// Guards against slots spent on work whose caller has left by its end.
+    void dropsWhatCannotEnd()
+    {
+        AdmissionQueue queue(1);
+        queue.push(requestOf(1, 1, 800ms, 400ms, start + 10s));
+        queue.push(requestOf(2, 1, 800ms, 400ms, start + 300ms));
+        queue.advance(start);
+        const AdmissionOutcome outcome = queue.advance(start + 150ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcome.expired.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), outcome.expired.front());
+        CPPUNIT_ASSERT(!queue.remove(2));
+    }
+
+    /// Replays 1.2 and 2 times the load that the slots can carry. Guards against requests that are held for seconds and then
+    /// refused, and against responses that all come late.
+    void servesAcceptedRequestsUnderOverload()
+    {
+        for (const double load : {1.2, 2.0}) {
+            for (unsigned seed = 1; seed <= 5; ++seed) {
+                Replay replay;
+                replay.load = load;
+                const ReplayResult result = play(replay, seed);
+                CPPUNIT_ASSERT_EQUAL(0U, result.expired);
+                // The slots stay busy: what is served is what they can carry.
+                CPPUNIT_ASSERT(result.onTime + result.late >= 0.95 * result.arrivals / load);
+                CPPUNIT_ASSERT(result.late <= 0.3 * result.arrivals);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionQueueTest);
--- /dev/null
+++ b/unittests/offertest.cpp
@@ -0,0 +1,103 @@
+#include <galenarack/proxy/offer.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+Offer sample()
+{
+    Offer offer;
+    offer.upstream = "i-1";
+    offer.requestId = "9c41d07be2a35f68";
+    offer.idempotent = true;
+    offer.mayTry = true;
+    offer.isRepeat = true;
+    offer.acceptsGray = true;
+    offer.priority = 2;
+    offer.remaining = 2900ms;
+    offer.target = 800ms;
+    offer.expected = 320ms;
+    offer.patience = 80ms;
+    offer.callerService = "reports";
+    offer.failureDomain = "a";
+    return offer;
+}
+
+} // namespace
+
+class OfferTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OfferTest);
+    CPPUNIT_TEST(carriesOffer);
+    CPPUNIT_TEST(carriesReport);
+    CPPUNIT_TEST(rejectsMalformed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a flag or duration that arrives as another.
+    void carriesOffer()
+    {
+        HeaderList headers;
+        sample().appendTo(headers);
+        const auto offer = Offer::fromHeaders(headers);
+        CPPUNIT_ASSERT(offer.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), offer->upstream);
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41d07be2a35f68"), offer->requestId);
+        CPPUNIT_ASSERT(offer->idempotent && offer->mayTry && offer->isRepeat && offer->acceptsGray);
+        CPPUNIT_ASSERT_EQUAL(2U, offer->priority);
+        CPPUNIT_ASSERT(offer->remaining == Duration(2900ms) && offer->target == Duration(800ms));
+        CPPUNIT_ASSERT(offer->expected == Duration(320ms) && offer->patience == Duration(80ms));
+        CPPUNIT_ASSERT_EQUAL(std::string("reports"), offer->callerService);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), offer->failureDomain);
+
+        Offer plain = sample();
+        plain.idempotent = plain.mayTry = plain.isRepeat = plain.acceptsGray = false;
+        HeaderList plainHeaders;
+        plain.appendTo(plainHeaders);
+        const auto read = Offer::fromHeaders(plainHeaders);
+        CPPUNIT_ASSERT(read.ok() && !read->idempotent && !read->mayTry && !read->isRepeat && !read->acceptsGray);
+    }
+
+    /// Guards against an end that the ingress reads as another, for each end.
+    void carriesReport()
+    {
+        for (int end = 0; end <= static_cast<int>(OfferEnd::Withdrawn); ++end) {
+            OfferReport report;
+            report.end = static_cast<OfferEnd>(end);
+            report.load = UpstreamLoad{2, 5, 3, 0.25, 1.5, 0.4};
+            report.ran = 321ms;
+            report.retryAfter = 77ms;
+            HeaderList headers;
+            report.appendTo(headers);
+            const auto read = OfferReport::fromHeaders(headers);
+            CPPUNIT_ASSERT(read.has_value());
+            CPPUNIT_ASSERT(read->end == report.end);
+            CPPUNIT_ASSERT(!offerEndName(read->end).empty());
+            CPPUNIT_ASSERT_EQUAL(5U, read->load.waiting);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, read->load.grayProbability, 0.01);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, read->load.slowness, 0.01);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, read->load.shedShare, 0.01);
+            CPPUNIT_ASSERT(read->ran == report.ran && read->retryAfter == report.retryAfter);
+        }
+    }
+
+    /// Guards against a malformed message that is taken as an offer of zeros.
+    void rejectsMalformed()
+    {
+        const char *const texts[] = {"", "i-1", "i-1 id 1 2 3 4 5 x", "i-1 id 1 2 3 4 5", "i-1 id 1 2 3 4 5 6 7", "i-1 id 1 2 -3 4 5 6"};
+        for (const char *text : texts) {
+            HeaderList headers;
+            headers.add("galenarack-offer", text);
+            headers.add("galenarack-origin", "reports a");
+            CPPUNIT_ASSERT_MESSAGE(text, !Offer::fromHeaders(headers).ok());
+        }
+        HeaderList report;
+        report.add("galenarack-report", "99 0 0 0 0 0 0 0 0");
+        CPPUNIT_ASSERT(!OfferReport::fromHeaders(report));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OfferTest);
--- /dev/null
+++ b/unittests/platformdecodetest.cpp
@@ -0,0 +1,294 @@
+#include <platform/bounds.h>
+#include <platform/decode.h>
+
+#include <galenarack/core/errorkind.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+
+using namespace Galenarack;
+using Json = nlohmann::json;
+
+namespace {
+
+Json goodEntry()
+{
+    return {{"service", "reports"},
+            {"address", "10.1.0.8:8301"},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 3},
+            {"state", "ready"},
+            {"cold-remaining-ms", 1200},
+            {"sequence", 4},
+            {"born", 1'700'000'000'123}};
+}
+
+Json goodConfig()
+{
+    const Json rule = {{"name", "r-1"},
+                       {"kind", "safe"},
+                       {"target-latency-ms", 800},
+                       {"priority", 2},
+                       {"match", {{"prefix", "/reports/"}}},
+                       {"action",
+                        {{"weighted-services", {{{"service", "reports"}, {"weight", 90}}, {{"service", "archive"}, {"weight", 10}}}},
+                         {"timeout-ms", 1200},
+                         {"max-attempts", 2}}}};
+    return {{"version", "0000001a"},
+            {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 1000}, {"header-timeout-ms", 3000}, {"idle-timeout-ms", 15000}}},
+            {"listeners", {{{"host", "one.example"}, {"rules", {rule}}}}},
+            {"clusters", {{{"name", "reports"}, {"health-path", "/healthz"}, {"max-connections", 390}}}}};
+}
+
+struct EntryCase
+{
+    const char *name;
+    std::function<void(Json &)> change;
+    bool isValid;
+};
+
+struct ConfigCase
+{
+    const char *name;
+    std::function<void(Json &)> change;
+    bool isValid;
+};
+
+struct BoundsCase
+{
+    const char *text;
+    bool isValid;
+    double slack;
+};
+
+} // namespace
+
+class PlatformDecodeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformDecodeTest);
+    CPPUNIT_TEST(decodesEntry);
+    CPPUNIT_TEST(rejectsMalformedEntries);
+    CPPUNIT_TEST(decodesConfig);
+    CPPUNIT_TEST(rejectsMalformedConfigs);
+    CPPUNIT_TEST(decodesBounds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a field that lands in the wrong member.
+    void decodesEntry()
+    {
+        const auto entry = Platform::decodeEntry("i-1", goodEntry().dump(), 42);
+        CPPUNIT_ASSERT(entry.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), entry->id);
+        CPPUNIT_ASSERT_EQUAL(std::string("reports"), entry->service);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.8"), entry->address.address().to_string());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8301), entry->address.port());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), entry->failureDomain);
+        CPPUNIT_ASSERT_EQUAL(3U, entry->slots);
+        CPPUNIT_ASSERT(!entry->draining);
+        CPPUNIT_ASSERT(Duration(std::chrono::milliseconds(1200)) == entry->coldRemaining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'700'000'000'123), entry->bornMs);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(42), entry->revision);
+    }
+
+    /// Guards against an entry of another writer that names an upstream which does not exist.
+    void rejectsMalformedEntries()
+    {
+        const EntryCase cases[] = {
+            {"draining is a state",
+             [](Json &entry) {
+                 entry["state"] = "draining";
+             },
+             true},
+            {"born may be missing",
+             [](Json &entry) {
+                 entry.erase("born");
+             },
+             true},
+            {"unknown field",
+             [](Json &entry) {
+                 entry["new"] = 1;
+             },
+             true},
+            {"unknown state",
+             [](Json &entry) {
+                 entry["state"] = "resting";
+             },
+             false},
+            {"state of another type",
+             [](Json &entry) {
+                 entry["state"] = 1;
+             },
+             false},
+            {"no service",
+             [](Json &entry) {
+                 entry.erase("service");
+             },
+             false},
+            {"empty service",
+             [](Json &entry) {
+                 entry["service"] = "";
+             },
+             false},
+            {"no address",
+             [](Json &entry) {
+                 entry.erase("address");
+             },
+             false},
+            {"address without a port",
+             [](Json &entry) {
+                 entry["address"] = "10.1.0.8";
+             },
+             false},
+            {"address with a name",
+             [](Json &entry) {
+                 entry["address"] = "host:80";
+             },
+             false},
+            {"address with port 0",
+             [](Json &entry) {
+                 entry["address"] = "10.1.0.8:0";
+             },
+             false},
+            {"slots as text",
+             [](Json &entry) {
+                 entry["slots"] = "3";
+             },
+             false},
+            {"no slots",
+             [](Json &entry) {
+                 entry["slots"] = 0;
+             },
+             false},
+            {"fractional slots",
+             [](Json &entry) {
+                 entry["slots"] = 2.5;
+             },
+             false},
+            {"negative cold time",
+             [](Json &entry) {
+                 entry["cold-remaining-ms"] = -1;
+             },
+             false},
+            {"no sequence",
+             [](Json &entry) {
+                 entry.erase("sequence");
+             },
+             false},
+            {"fractional born",
+             [](Json &entry) {
+                 entry["born"] = 1.5;
+             },
+             false},
+            {"a list",
+             [](Json &entry) {
+                 entry = Json::array({1});
+             },
+             false},
+        };
+        for (const EntryCase &row : cases) {
+            Json entry = goodEntry();
+            row.change(entry);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, Platform::decodeEntry("i-1", entry.dump(), 1).ok());
+        }
+        CPPUNIT_ASSERT(!Platform::decodeEntry("i-1", "\xff\x00{", 1).ok());
+    }
+
+    /// Guards against routes that match or split otherwise than operators wrote.
+    void decodesConfig()
+    {
+        const auto config = Platform::decodeConfig(goodConfig().dump());
+        CPPUNIT_ASSERT(config.ok());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(26), config->version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1000), config->limits.bodyBytes);
+        const TrafficRoute *route = config->find("ONE.example:80", "/reports/7?x=1");
+        CPPUNIT_ASSERT(route != nullptr);
+        CPPUNIT_ASSERT(route->idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), route->destinations.size());
+        CPPUNIT_ASSERT_EQUAL(10U, route->destinations[1].weight);
+        CPPUNIT_ASSERT_EQUAL(2U, route->maxAttempts);
+        CPPUNIT_ASSERT(Duration(std::chrono::milliseconds(1200)) == route->timeout);
+    }
+
+    /// Guards against a broken configuration that replaces a good one.
+    void rejectsMalformedConfigs()
+    {
+        const ConfigCase cases[] = {
+            {"unsafe kind",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["kind"] = "unsafe";
+             },
+             true},
+            {"no version",
+             [](Json &config) {
+                 config.erase("version");
+             },
+             false},
+            {"version that is no number",
+             [](Json &config) {
+                 config["version"] = "xyz";
+             },
+             false},
+            {"no limits",
+             [](Json &config) {
+                 config.erase("limits");
+             },
+             false},
+            {"bare prefix",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["match"]["prefix"] = "reports";
+             },
+             false},
+            {"no attempts",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["action"]["max-attempts"] = 0;
+             },
+             false},
+            {"no timeout",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["action"].erase("timeout-ms");
+             },
+             false},
+            {"no weight",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["action"]["weighted-services"][0].erase("weight");
+             },
+             false},
+            {"no host",
+             [](Json &config) {
+                 config["listeners"][0].erase("host");
+             },
+             false},
+        };
+        for (const ConfigCase &row : cases) {
+            Json config = goodConfig();
+            row.change(config);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, Platform::decodeConfig(config.dump()).ok());
+        }
+        CPPUNIT_ASSERT(!Platform::decodeConfig("{\"version\":").ok());
+    }
+
+    /// Guards against a bound that is read as zero.
+    void decodesBounds()
+    {
+        const BoundsCase cases[] = {
+            {"", true, 10},
+            {"retry-budget-ratio=0.2,budget-slack=62,grace-s=6,unknown=x", true, 62},
+            {"budget-slack=many", false, 0},
+            {"budget-slack=-1", false, 0},
+            {"budget-slack", false, 0},
+        };
+        for (const BoundsCase &row : cases) {
+            const auto bounds = Platform::decodeBounds(row.text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.text, row.isValid, bounds.ok());
+            if (row.isValid) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.text, row.slack, bounds->retry.slack);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDecodeTest);
--- /dev/null
+++ b/unittests/retryallowancetest.cpp
@@ -0,0 +1,65 @@
+#include <galenarack/policy/retryallowance.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <vector>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+class RetryAllowanceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryAllowanceTest);
+    CPPUNIT_TEST(staysBelowFleetBound);
+    CPPUNIT_TEST(lowPriorityLeavesRoom);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Homes that all repeat as much as they may, with load that moves between them. Guards against a window in which the
+    /// fleet's repeats are above its bound.
+    void staysBelowFleetBound()
+    {
+        CPPUNIT_ASSERT(rc::check("the repeats of all homes stay below the bound of the fleet", [] {
+            const RetryBound bound{0.2, 62, 10s};
+            constexpr std::size_t homes = 9;
+            std::vector<RetryAllowance> allowances(homes, RetryAllowance(bound));
+            std::deque<TimePoint> requests;
+            std::deque<TimePoint> repeats;
+            TimePoint now(1h);
+            for (const int step : *rc::gen::container<std::vector<int>>(1500, rc::gen::inRange(0, 100))) {
+                now += std::chrono::milliseconds(step % 20);
+                RetryAllowance &home = allowances[static_cast<std::size_t>(step) % homes];
+                if (step < 50) {
+                    home.onRequest(now);
+                    requests.push_back(now);
+                } else if (home.remaining(now, homes, 1.0) > 0) {
+                    home.onRepeat(now);
+                    repeats.push_back(now);
+                }
+                while (!repeats.empty() && repeats.front() <= now - bound.window) {
+                    repeats.pop_front();
+                }
+                while (!requests.empty() && requests.front() <= now - bound.window - 1s) {
+                    requests.pop_front();
+                }
+                RC_ASSERT(static_cast<double>(repeats.size()) <= bound.ratio * static_cast<double>(requests.size()) + bound.slack);
+            }
+        }));
+    }
+
+    /// Guards against repeats of less urgent work that leave none for urgent work.
+    void lowPriorityLeavesRoom()
+    {
+        RetryAllowance allowance(RetryBound{0.2, 100, 10s});
+        const TimePoint now(1h);
+        while (allowance.remaining(now, 1, 0.6) > 0) {
+            allowance.onRepeat(now);
+        }
+        CPPUNIT_ASSERT(allowance.remaining(now, 1, 1.0) > 20);
+        CPPUNIT_ASSERT(allowance.remaining(now + 11s, 1, 0.6) > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryAllowanceTest);
--- /dev/null
+++ b/unittests/trafficconfigtest.cpp
@@ -0,0 +1,131 @@
+#include <galenarack/fleet/fleetview.h>
+#include <galenarack/fleet/trafficconfig.h>
+#include <galenarack/policy/weightedsplit.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Galenarack;
+
+namespace {
+
+TrafficRoute routeOf(std::string prefix)
+{
+    TrafficRoute route;
+    route.name = prefix;
+    route.prefix = std::move(prefix);
+    return route;
+}
+
+UpstreamEntry entryOf(std::string id, std::string vm, std::uint64_t revision)
+{
+    UpstreamEntry entry;
+    entry.id = std::move(id);
+    entry.address = {boost::asio::ip::make_address(vm), 80};
+    entry.revision = revision;
+    return entry;
+}
+
+struct MatchCase
+{
+    const char *host;
+    const char *target;
+    const char *expected; ///< Empty for no route.
+};
+
+struct SplitCase
+{
+    std::vector<std::uint32_t> weights;
+    unsigned requests;
+};
+
+} // namespace
+
+class TrafficConfigTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TrafficConfigTest);
+    CPPUNIT_TEST(findsLongestPrefix);
+    CPPUNIT_TEST(keepsSharesOfWeights);
+    CPPUNIT_TEST(neverGoesBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a request that runs at a service its route does not lead to.
+    void findsLongestPrefix()
+    {
+        TrafficConfig config;
+        config.addRoute("one.example", routeOf("/a/"));
+        config.addRoute("one.example", routeOf("/a/b/"));
+        config.addRoute("two.example", routeOf("/"));
+        config.sortRoutes();
+        const MatchCase cases[] = {
+            {"one.example", "/a/x", "/a/"},
+            {"one.example", "/a/b/x", "/a/b/"},
+            {"one.example", "/a/bx", "/a/"},
+            {"one.example", "/a", ""},
+            {"one.example", "/b/?path=/a/", ""},
+            {"One.Example:8080", "/a/?q", "/a/"},
+            {"two.example", "/a/", "/"},
+            {"three.example", "/a/", ""},
+            {"", "/a/", ""},
+        };
+        for (const MatchCase &row : cases) {
+            const TrafficRoute *route = config.find(row.host, row.target);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.target, std::string(row.expected), route == nullptr ? std::string() : route->prefix);
+        }
+    }
+
+    /// Guards against shares that drift from the weights at low rates.
+    void keepsSharesOfWeights()
+    {
+        const SplitCase cases[] = {{{90, 10}, 200}, {{1, 1, 1}, 30}, {{7, 0, 3}, 100}, {{5}, 10}};
+        for (std::uint32_t offset = 0; offset < 40; offset += 13) {
+            for (const SplitCase &row : cases) {
+                std::vector<WeightedService> services;
+                std::uint32_t total = 0;
+                for (const std::uint32_t weight : row.weights) {
+                    services.push_back({"s", weight});
+                    total += weight;
+                }
+                WeightedSplit split(offset);
+                std::vector<unsigned> counts(row.weights.size());
+                for (unsigned i = 0; i < row.requests; ++i) {
+                    ++counts[split.next(services)];
+                }
+                for (std::size_t i = 0; i < counts.size(); ++i) {
+                    const double share = static_cast<double>(row.requests) * row.weights[i] / total;
+                    CPPUNIT_ASSERT_DOUBLES_EQUAL(share, counts[i], 1.01);
+                }
+            }
+        }
+    }
+
+    /// Guards against an older configuration or entry that comes late and takes effect.
+    void neverGoesBack()
+    {
+        FleetView view;
+        const auto config = [](std::uint64_t version) {
+            auto made = std::make_shared<TrafficConfig>();
+            made->version = version;
+            return made;
+        };
+        CPPUNIT_ASSERT(view.applyConfig(config(7)));
+        CPPUNIT_ASSERT(!view.applyConfig(config(7)));
+        CPPUNIT_ASSERT(!view.applyConfig(config(6)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), view.config()->version);
+
+        CPPUNIT_ASSERT(view.applyEntry(entryOf("a", "10.0.0.1", 5), TimePoint()));
+        CPPUNIT_ASSERT(!view.applyEntry(entryOf("a", "10.0.0.2", 4), TimePoint()));
+        view.removeEntry("a", 4);
+        CPPUNIT_ASSERT(view.find("a") != nullptr);
+        view.removeEntry("a", 9);
+        CPPUNIT_ASSERT(view.find("a") == nullptr);
+        CPPUNIT_ASSERT(!view.applyEntry(entryOf("a", "10.0.0.1", 8), TimePoint()));
+        CPPUNIT_ASSERT(view.applyEntry(entryOf("a", "10.0.0.1", 10), TimePoint()));
+
+        // An address that was used again belongs to the newer entry.
+        CPPUNIT_ASSERT(view.applyEntry(entryOf("b", "10.0.0.1", 12), TimePoint()));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), view.findOnVm(boost::asio::ip::make_address("10.0.0.1"))->id);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TrafficConfigTest);
--- /dev/null
+++ b/unittests/trustfiltertest.cpp
@@ -0,0 +1,108 @@
+#include <galenarack/policy/movingshare.h>
+#include <galenarack/policy/trustfilter.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start(std::chrono::hours(1));
+
+struct HistoryCase
+{
+    const char *name;
+    std::string history; ///< "s" success, "f" failure, "o" overdue, "." one second without a request; 100 ms between others.
+    double least;
+    double most;
+};
+
+} // namespace
+
+class TrustFilterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TrustFilterTest);
+    CPPUNIT_TEST(followsEvidence);
+    CPPUNIT_TEST(detectsWithinFewRequests);
+    CPPUNIT_TEST(shareFallsWithoutEvents);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a gray upstream that keeps non-idempotent work (limit 0.25), and against a sound one that is ejected
+    /// (limit 0.6) for one of the failures that every upstream has.
+    void followsEvidence()
+    {
+        const HistoryCase cases[] = {
+            {"sound", "ssssssssss", 0.0, 0.1},
+            {"one failure of a sound one", "ssssssssssf", 0.1, 0.6},
+            {"two failures", "ssssssssssff", 0.6, 1.0},
+            {"no evidence", "....................", 0.1, 0.25},
+            {"first request fails", "f", 0.6, 1.0},
+            {"ejected, one success", "ssffffs", 0.5, 0.95},
+            {"ejected, three successes", "ssffffsss", 0.0, 0.25},
+            {"forgotten", "ssffff....................", 0.1, 0.35},
+            {"overdue once", "sssso", 0.0, 0.4},
+        };
+        for (const HistoryCase &row : cases) {
+            TrustFilter filter;
+            TimePoint now = start;
+            for (const char step : row.history) {
+                now += step == '.' ? Duration(1s) : Duration(100ms);
+                if (step != '.') {
+                    filter.observe(step == 's'   ? TrustEvidence::Success
+                                   : step == 'f' ? TrustEvidence::Failure
+                                                 : TrustEvidence::Overdue,
+                                   now);
+                }
+            }
+            const double probability = filter.grayProbability(now);
+            CPPUNIT_ASSERT_MESSAGE(std::string(row.name) + " " + std::to_string(probability),
+                                   probability >= row.least && probability <= row.most);
+        }
+    }
+
+    /// Replays upstreams that turn gray. Guards against detection that takes many requests, and against false ejections.
+    void detectsWithinFewRequests()
+    {
+        std::mt19937_64 random(20261204);
+        std::bernoulli_distribution grayFails(0.8);
+        std::bernoulli_distribution soundFails(0.012);
+        constexpr double ejectionLimit = 0.6;
+        unsigned requestsUntilEjected = 0;
+        unsigned falseEjections = 0;
+        constexpr unsigned runs = 500;
+        for (unsigned run = 0; run < runs; ++run) {
+            TrustFilter filter;
+            TimePoint now = start;
+            for (unsigned i = 0; i < 50; ++i) {
+                now += 150ms;
+                filter.observe(soundFails(random) ? TrustEvidence::Failure : TrustEvidence::Success, now);
+                falseEjections += filter.grayProbability(now) > ejectionLimit ? 1 : 0;
+            }
+            while (filter.grayProbability(now) <= ejectionLimit) {
+                now += 150ms;
+                filter.observe(grayFails(random) ? TrustEvidence::Failure : TrustEvidence::Success, now);
+                ++requestsUntilEjected;
+            }
+        }
+        CPPUNIT_ASSERT(requestsUntilEjected <= 4 * runs);
+        CPPUNIT_ASSERT(falseEjections <= runs * 50 / 100);
+    }
+
+    /// Guards against an upstream that is avoided for ever after a moment of shedding.
+    void shareFallsWithoutEvents()
+    {
+        MovingShare share;
+        for (int i = 0; i < 20; ++i) {
+            share.observe(true, start + i * Duration(50ms));
+        }
+        CPPUNIT_ASSERT(share.value(start + 1s) > 0.8);
+        CPPUNIT_ASSERT(share.value(start + 10s) < 0.05);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TrustFilterTest);
