Write logs to standard output without waiting, at a bounded rate; test the platform path with real processes

A pipe that nobody reads does not stop the process; lines that are left out are counted by message. Process test with a stand-in store and upstreams on loopback addresses: routes, repeats, changes, leaving.

--- a/galenarack/core/log.cpp
+++ b/galenarack/core/log.cpp
@@ -1,9 +1,11 @@
 #include <galenarack/core/log.h>
 
+#include <galenarack/core/logsink.h>
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -11,6 +13,8 @@
 #include <ctime>
 #include <memory>
 
+#include <unistd.h>
+
 namespace Galenarack {
 
 namespace {
@@ -45,6 +49,30 @@
     return "info";
 }
 
+/// The sink of the process; null before configureLogging().
+std::unique_ptr<LogSink> processSink;
+
+/// Hands the lines of log4cxx to the sink of the process.
+class SinkAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return false;
+    }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &) override
+    {
+        // The line is complete and its logger is named after the component.
+        processSink->write(event->getMessage(), event->getLoggerName());
+    }
+};
+
 /// UTC in the form of RFC 3339 with milliseconds.
 std::string timeText(std::chrono::system_clock::time_point time)
 {
@@ -112,15 +140,23 @@
     return dumpAscii(line);
 }
 
-void configureLogging(LogLevel lowest)
+void configureLogging(LogLevel lowest, double linesPerSecond)
 {
-    // The line is complete; the layout of log4cxx only ends it.
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::configure(appender);
+    LogLimits limits;
+    limits.linesPerSecond = linesPerSecond;
+    limits.burst = 2 * linesPerSecond;
+    processSink = std::make_unique<LogSink>(STDOUT_FILENO, limits);
+    log4cxx::BasicConfigurator::configure(std::make_shared<SinkAppender>());
     log4cxx::Logger::getRootLogger()->setLevel(toLog4cxxLevel(lowest));
 }
 
+void flushLogs()
+{
+    if (processSink) {
+        processSink->flush();
+    }
+}
+
 Log::Log(std::string_view component)
     : component(component)
 {
@@ -133,6 +169,11 @@
     if (!logger->isEnabledFor(log4cxxLevel)) {
         return;
     }
+    // Warnings and errors are rare and always written; the others keep to the rate.
+    const bool isBounded = level == LogLevel::Debug || level == LogLevel::Info;
+    if (isBounded && processSink && !processSink->admit(message, LogSink::Clock::now())) {
+        return;
+    }
     logger->forcedLog(log4cxxLevel, formatLogLine(level, this->component, message, fields, std::chrono::system_clock::now()));
 }
 
--- a/galenarack/core/log.h
+++ b/galenarack/core/log.h
@@ -33,8 +33,12 @@
 /// Longest JSON value in bytes. A longer one is written as text that is cut off.
 inline constexpr std::size_t maxLogObjectBytes = 16384;
 
-/// Sends all log lines of the process to standard error as JSON lines. Call once, before the first Log.
-void configureLogging(LogLevel lowest);
+/// Sends all log lines of the process to standard output as JSON lines, through a LogSink. Call once, before the first Log.
+/// @param linesPerSecond bound on informational lines
+void configureLogging(LogLevel lowest, double linesPerSecond);
+
+/// Writes lines that wait for a slow reader. Call it from time to time and before the end of the process.
+void flushLogs();
 
 /// Builds one line without the line feed: a JSON object with "time", "level", "component", "message" and the fields. It is
 /// ASCII: other characters are escaped and bytes that are not UTF-8 become U+FFFD.
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -26,6 +26,7 @@
 
 asio::awaitable<void> RegistryFollower::run()
 {
+    this->startedAt = NodeClock::now();
     for (;;) {
         const bool done = this->revision != 0 ? co_await this->watchOnce() : co_await this->readAll();
         if (!done) {
@@ -86,7 +87,8 @@
     this->take(*read);
     this->revision = std::max(this->revision, read->revision);
     if (!read->changes.empty()) {
-        co_await this->pause(this->settings.batchPause);
+        const bool isStarting = NodeClock::now() - this->startedAt < this->settings.startTime;
+        co_await this->pause(isStarting ? this->settings.startPause : this->settings.batchPause);
     }
     co_return true;
 }
--- a/galenarack/node/node.cpp
+++ b/galenarack/node/node.cpp
@@ -199,6 +199,7 @@
     this->forwarder.tick(now);
     this->config.tick(now);
     this->tickDrain(now);
+    flushLogs();
     if (now - this->lastSlowTick >= slowTickPeriod) {
         this->lastSlowTick = now;
         this->tickSlow(now);
--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -206,6 +206,11 @@
     if (raw.drainTimeoutSeconds < 1 || raw.drainTimeoutSeconds > maxDrainSeconds) {
         status.Update(invalid("drain_timeout_s", std::to_string(raw.drainTimeoutSeconds), "1 to 3600 seconds"));
     }
+    constexpr int maxLogLines = 100'000;
+    if (raw.logLinesPerSecond < 1 || raw.logLinesPerSecond > maxLogLines) {
+        status.Update(invalid("log_lines_per_s", std::to_string(raw.logLinesPerSecond), "1 to 100000"));
+    }
+    settings.logLinesPerSecond = raw.logLinesPerSecond;
     settings.drainTimeout = std::chrono::seconds(raw.drainTimeoutSeconds);
     if (settings.peerAddress.address().is_unspecified()) {
         status.Update(invalid("peer_address", raw.peerAddress, "the address by which other nodes reach this one"));
--- a/galenarack/node/settings.h
+++ b/galenarack/node/settings.h
@@ -38,6 +38,7 @@
     std::vector<PeerSeed> peerSeeds;
     Duration drainTimeout = std::chrono::seconds(30); ///< After SIGTERM the process ends by then at the latest.
     LogLevel logLevel = LogLevel::Info;
+    double logLinesPerSecond = 200; ///< Informational lines, over time.
 };
 
 /// Unchecked settings as they stand on the command line or in the environment.
@@ -55,6 +56,7 @@
     std::string homeUpstreams;
     std::string peerSeeds;
     std::string logLevel;
+    int logLinesPerSecond = 200;
     int drainTimeoutSeconds = 0;
 };
 
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -149,6 +149,7 @@
         this->home.tick(now);
         this->callers.tick(now);
         this->tickDrain(now);
+        flushLogs();
     }
 }
 
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -31,6 +31,8 @@
 DEFINE_int32(drain_timeout_s, 30, "Behaviour: after SIGTERM the process ends within this many seconds");
 DEFINE_string(log_level, "info", "Behaviour: lowest level that is logged: debug, info, warn or error");
 
+DEFINE_int32(log_lines_per_s, 200, "Behaviour: informational log lines a second, over time; the rest is counted");
+
 namespace {
 
 using namespace Galenarack;
@@ -71,6 +73,7 @@
     raw.homeUpstreams = FLAGS_home_upstreams;
     raw.peerSeeds = FLAGS_peer_seeds;
     raw.logLevel = FLAGS_log_level;
+    raw.logLinesPerSecond = FLAGS_log_lines_per_s;
     raw.drainTimeoutSeconds = FLAGS_drain_timeout_s;
     return raw;
 }
@@ -100,6 +103,7 @@
         }
     });
     context.run();
+    flushLogs();
     return true;
 }
 
@@ -122,7 +126,7 @@
         std::cerr << "galenarackd: " << messageOf(settings.status()) << '\n';
         return exitUsage;
     }
-    configureLogging(settings->logLevel);
+    configureLogging(settings->logLevel, settings->logLinesPerSecond);
     std::signal(SIGPIPE, SIG_IGN);
     // All settings are fixed for the run of a process, so a changed settings file takes effect with the next start.
     std::signal(SIGHUP, SIG_IGN);
--- /dev/null
+++ b/processtests/platformtest.cpp
@@ -0,0 +1,179 @@
+#include "support/platformfleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <optional>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned nodes = 4;
+
+/// Sends one request and runs the loop until the caller has its answer.
+CallerView request(PlatformFleet &fleet, unsigned node, const std::string &method, const std::string &target, const std::string &id)
+{
+    std::optional<CallerView> view;
+    asio::co_spawn(
+        fleet.context,
+        [&]() -> asio::awaitable<void> {
+            view = co_await fleet.send(node, method, target, id, 3s);
+        },
+        asio::detached);
+    while (!view) {
+        fleet.runFor(10ms);
+    }
+    return *view;
+}
+
+struct FaultCase
+{
+    const char *name;
+    const char *method;
+    const char *target;
+    UpstreamBehaviour behaviour; ///< Of the upstream that the fleet prefers.
+    unsigned status; ///< Expected at the caller.
+    unsigned mostRuns;
+};
+
+void startAll(PlatformFleet &fleet)
+{
+    for (unsigned node = 0; node < nodes; ++node) {
+        fleet.startNode(node);
+    }
+    for (unsigned node = 0; node < nodes; ++node) {
+        CPPUNIT_ASSERT(fleet.awaitReady(node));
+    }
+}
+
+} // namespace
+
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(servesThroughHomes);
+    CPPUNIT_TEST(repeatsOnlyWhatMayRepeat);
+    CPPUNIT_TEST(followsTheStore);
+    CPPUNIT_TEST(leavesWithoutLoss);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a request that runs elsewhere than its route says, under another caller, or without its own response.
+    void servesThroughHomes()
+    {
+        PlatformFleet fleet(nodes);
+        startAll(fleet);
+        for (unsigned node = 0; node < nodes; ++node) {
+            for (const char *target : {"/read/x", "/write/x"}) {
+                const std::string id = "s" + std::to_string(node) + target[1];
+                const bool isWrite = target[1] == 'w';
+                const CallerView view = request(fleet, node, isWrite ? "POST" : "GET", target, id);
+                CPPUNIT_ASSERT_EQUAL(200U, view.status);
+                CPPUNIT_ASSERT(view.isSigned);
+                CPPUNIT_ASSERT_EQUAL(id, view.echoedId);
+                CPPUNIT_ASSERT_EQUAL("ran " + id, view.body);
+                CPPUNIT_ASSERT_EQUAL(1U, fleet.runsOf(id));
+                for (const unsigned back : fleet.backNodes()) {
+                    const auto caller = fleet.upstreams[back]->callerServices.find(id);
+                    if (caller != fleet.upstreams[back]->callerServices.end()) {
+                        CPPUNIT_ASSERT_EQUAL(std::string(node % 2 == 0 ? "front" : "back"), caller->second);
+                    }
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(404U, request(fleet, 0, "GET", "/none/x", "n1").status);
+    }
+
+    /// Guards against non-idempotent work that runs twice, and against idempotent work that fails though another upstream
+    /// could run it.
+    void repeatsOnlyWhatMayRepeat()
+    {
+        UpstreamBehaviour failing;
+        failing.status = 500;
+        UpstreamBehaviour rejecting;
+        rejecting.rejects = true;
+        UpstreamBehaviour losing;
+        losing.losesAnswers = true;
+        const FaultCase cases[] = {
+            {"idempotent, error", "GET", "/read/e", failing, 200, 2},
+            {"idempotent, answer lost", "GET", "/read/l", losing, 200, 2},
+            {"idempotent, rejected", "GET", "/read/r", rejecting, 200, 1},
+            {"other, rejected", "POST", "/write/r", rejecting, 200, 1},
+            {"other, error", "POST", "/write/e", failing, 500, 1},
+            {"other, answer lost", "POST", "/write/l", losing, 502, 1},
+        };
+        for (const FaultCase &row : cases) {
+            PlatformFleet fleet(nodes);
+            startAll(fleet);
+            // Node 1 is in the failure domain of node 0, which prefers it.
+            fleet.upstreams[1]->behaviour = row.behaviour;
+            const CallerView view = request(fleet, 0, row.method, row.target, "f1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.status, view.status);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.runsOf("f1") <= row.mostRuns && fleet.runsOf("f1") >= 1);
+        }
+    }
+
+    /// Guards against a change that does not take effect, and against a node that denies routes or stops serving because the
+    /// store is away.
+    void followsTheStore()
+    {
+        PlatformFleet fleet(nodes);
+        startAll(fleet);
+        fleet.publishConfig("/seek/");
+        fleet.publishEntry(1, "draining");
+        fleet.runFor(2s);
+        CPPUNIT_ASSERT_EQUAL(404U, request(fleet, 0, "GET", "/read/x", "c1").status);
+        CPPUNIT_ASSERT_EQUAL(200U, request(fleet, 0, "GET", "/seek/x", "c2").status);
+        for (int i = 0; i < 6; ++i) {
+            request(fleet, 0, "GET", "/seek/x", "d" + std::to_string(i));
+        }
+        CPPUNIT_ASSERT(fleet.upstreams[1]->runs.empty());
+
+        fleet.registry.setReachable(false);
+        fleet.runFor(1500ms);
+        CPPUNIT_ASSERT_EQUAL(200U, request(fleet, 0, "GET", "/seek/x", "o1").status);
+        CPPUNIT_ASSERT_EQUAL(503U, request(fleet, 0, "GET", "/new/x", "o2").status);
+        fleet.publishConfig("/new/");
+        fleet.registry.setReachable(true);
+        fleet.runFor(3s);
+        CPPUNIT_ASSERT_EQUAL(200U, request(fleet, 0, "GET", "/new/x", "o3").status);
+    }
+
+    /// Guards against a request in flight that is cut when its ingress or home leaves, and against a node that stays ready.
+    void leavesWithoutLoss()
+    {
+        PlatformFleet fleet(nodes);
+        startAll(fleet);
+        for (const unsigned leaving : {0U, 1U}) {
+            for (const auto &upstream : fleet.upstreams) {
+                upstream->behaviour.work = 1200ms;
+            }
+            const std::string id = "t" + std::to_string(leaving);
+            std::optional<CallerView> view;
+            asio::co_spawn(
+                fleet.context,
+                [&]() -> asio::awaitable<void> {
+                    view = co_await fleet.send(0, "POST", "/write/x", id, 3s);
+                },
+                asio::detached);
+            fleet.runFor(300ms);
+            fleet.processes[leaving]->signal(SIGTERM);
+            while (!view) {
+                fleet.runFor(10ms);
+            }
+            CPPUNIT_ASSERT_EQUAL(200U, view->status);
+            CPPUNIT_ASSERT_EQUAL(1U, fleet.runsOf(id));
+            CPPUNIT_ASSERT(fleet.processes[leaving]->wait(7s).has_value());
+            fleet.startNode(leaving);
+            CPPUNIT_ASSERT(fleet.awaitReady(leaving));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
--- /dev/null
+++ b/processtests/support/platformfleet.cpp
@@ -0,0 +1,311 @@
+#include "platformfleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <absl/strings/escaping.h>
+
+#include <unistd.h>
+
+namespace Galenarack {
+
+namespace asio = boost::asio;
+using namespace StandIns;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char *requestIdField = "Request-Id";
+
+Json routeOf(const std::string &name, const std::string &prefix, const std::string &kind)
+{
+    return {{"name", name},
+            {"kind", kind},
+            {"target-latency-ms", 500},
+            {"priority", 1},
+            {"match", {{"prefix", prefix}}},
+            {"action", {{"service", "back"}, {"timeout-ms", 4000}, {"max-attempts", 3}}}};
+}
+
+} // namespace
+
+RegistryStandIn::RegistryStandIn(asio::io_context &context)
+    : context(context)
+    , server(context, {asio::ip::address_v4::loopback(), 0}, [this](const HttpRequest &request) {
+        return this->answer(request);
+    })
+{
+    this->server.open();
+}
+
+void RegistryStandIn::put(const std::string &key, const std::string &value)
+{
+    this->items[key] = Item{value, ++this->revision, false};
+}
+
+void RegistryStandIn::remove(const std::string &key)
+{
+    this->items[key] = Item{"", ++this->revision, true};
+}
+
+void RegistryStandIn::setReachable(bool reachable)
+{
+    if (reachable == this->reachable) {
+        return;
+    }
+    this->reachable = reachable;
+    if (reachable) {
+        this->server.open();
+    } else {
+        this->server.close();
+    }
+}
+
+std::string RegistryStandIn::address() const
+{
+    return endpointText(this->server.address());
+}
+
+Json RegistryStandIn::toJson(const std::string &key, const Item &item) const
+{
+    if (item.deleted) {
+        return {{"key", key}, {"revision", item.revision}, {"deleted", true}};
+    }
+    std::string encoded;
+    absl::Base64Escape(item.value, &encoded);
+    return {{"key", key}, {"value", encoded}, {"revision", item.revision}, {"created", item.revision}, {"lease", 0}};
+}
+
+asio::awaitable<HttpResponse> RegistryStandIn::answer(const HttpRequest &request)
+{
+    const Target target(std::string_view(request.target().data(), request.target().size()));
+    if (target.path == "/-/kv-watch") {
+        co_return co_await this->watch(request, target);
+    }
+    if (target.path == "/-/kv-range") {
+        Json list = Json::array();
+        for (const auto &[key, item] : this->items) {
+            if (!item.deleted && key.starts_with(target.parameter("prefix"))) {
+                list.push_back(this->toJson(key, item));
+            }
+        }
+        const Json body = {{"items", list}, {"truncated", false}, {"store-revision", this->revision}};
+        co_return makeResponse(request, 200, "application/json", body.dump());
+    }
+    const auto item = this->items.find(target.parameter("key"));
+    if (target.path != "/-/kv-key" || item == this->items.end() || item->second.deleted) {
+        co_return makeResponse(request, 404, "application/json", "{}");
+    }
+    Json body = this->toJson(item->first, item->second);
+    body["store-revision"] = this->revision;
+    co_return makeResponse(request, 200, "application/json", body.dump());
+}
+
+asio::awaitable<HttpResponse> RegistryStandIn::watch(const HttpRequest &request, const Target &target)
+{
+    const std::uint64_t after = std::stoull(target.parameter("after", "0"));
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(target.parameter("wait-ms", "0")));
+    asio::steady_timer timer(this->context);
+    Json events = Json::array();
+    while (events.empty() && std::chrono::steady_clock::now() < end && this->reachable) {
+        for (const auto &[key, item] : this->items) {
+            if (item.revision > after) {
+                events.push_back(this->toJson(key, item));
+            }
+        }
+        if (events.empty()) {
+            co_await sleepFor(timer, std::chrono::milliseconds(20));
+        }
+    }
+    const Json body = {{"events", events}, {"store-revision", this->revision}};
+    co_return makeResponse(request, 200, "application/json", body.dump());
+}
+
+PlatformUpstream::PlatformUpstream(asio::io_context &context, std::string id, const std::string &vm)
+    : id(std::move(id))
+    , context(context)
+    , server(context, {asio::ip::make_address(vm), 0}, [this](const HttpRequest &request) {
+        return this->answer(request);
+    })
+{
+    this->server.open();
+}
+
+std::string PlatformUpstream::address() const
+{
+    return endpointText(this->server.address());
+}
+
+asio::awaitable<HttpResponse> PlatformUpstream::answer(const HttpRequest &request)
+{
+    const std::string requestId(request[requestIdField]);
+    const auto withId = [&request, &requestId](unsigned status, std::string body) {
+        HttpResponse response = makeResponse(request, status, "text/plain", std::move(body));
+        response.set(requestIdField, requestId);
+        return response;
+    };
+    if (std::string_view(request["Expect-Instance"].data(), request["Expect-Instance"].size()) != this->id) {
+        HttpResponse response = withId(421, "");
+        response.set("Instance-Id", this->id);
+        co_return response;
+    }
+    if (this->behaviour.rejects) {
+        HttpResponse response = withId(503, "");
+        response.set("Not-Executed", "1");
+        co_return response;
+    }
+    ++this->runs[requestId];
+    this->callerServices[requestId] = std::string(request["Caller-Service"]);
+    const UpstreamBehaviour now = this->behaviour;
+    asio::steady_timer timer(this->context);
+    co_await sleepFor(timer, now.work);
+    if (now.losesAnswers) {
+        this->server.close();
+        this->server.open();
+    }
+    HttpResponse response = withId(now.status, "ran " + requestId);
+    response.set("Server-Seal", "seal-" + this->id);
+    co_return response;
+}
+
+PlatformFleet::PlatformFleet(unsigned nodes)
+    : registry(this->context)
+    , nodeCount(nodes)
+    // Test processes that run side by side use different ports.
+    , basePort(static_cast<std::uint16_t>(20000 + (getpid() % 2000) * 4))
+{
+    this->processes.resize(nodes);
+    for (unsigned node = 0; node < nodes; ++node) {
+        this->upstreams.push_back(std::make_unique<PlatformUpstream>(this->context, "i-" + std::to_string(node), this->vmOf(node)));
+        this->publishEntry(node, "ready");
+    }
+    this->publishConfig("/read/");
+}
+
+std::string PlatformFleet::vmOf(unsigned node) const
+{
+    return "127.0.1." + std::to_string(node + 1);
+}
+
+void PlatformFleet::publishEntry(unsigned node, const std::string &state)
+{
+    const Json entry = {{"service", node % 2 == 0 ? "front" : "back"},
+                        {"address", this->upstreams[node]->address()},
+                        {"zone", node < this->nodeCount / 2 ? "a" : "b"},
+                        {"version", "v1"},
+                        {"slots", 4},
+                        {"state", state},
+                        {"cold-remaining-ms", 0},
+                        {"sequence", this->sequence++}};
+    this->registry.put("servers/" + this->upstreams[node]->id, entry.dump());
+}
+
+void PlatformFleet::publishConfig(const std::string &readPrefix)
+{
+    std::string digits(8, '0');
+    std::snprintf(digits.data(), digits.size() + 1, "%08x", static_cast<unsigned>(this->version++));
+    const Json config
+        = {{"version", digits},
+           {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 1048576}, {"header-timeout-ms", 3000}, {"idle-timeout-ms", 15000}}},
+           {"listeners",
+            {{{"host", "fleet.example"}, {"rules", {routeOf("read", readPrefix, "safe"), routeOf("write", "/write/", "unsafe")}}}}},
+           {"clusters", {{{"name", "back"}, {"health-path", "/healthz"}, {"max-connections", 100}}}}};
+    this->registry.put("op/config", config.dump());
+}
+
+void PlatformFleet::startNode(unsigned node)
+{
+    const std::string vm = this->vmOf(node);
+    const auto address = [&vm, this](unsigned offset) {
+        return vm + ":" + std::to_string(this->basePort + offset);
+    };
+    const std::vector<std::string> arguments
+        = {"--fleet=test",
+           "--vm=vm-" + std::to_string(node),
+           std::string("--failure_domain=") + (node < this->nodeCount / 2 ? "a" : "b"),
+           "--caller_address=" + address(0),
+           "--peer_address=" + address(1),
+           "--operators_address=" + address(2),
+           "--home_upstreams=" + std::string(node % 2 == 0 ? "front" : "back") + "=" + this->upstreams[node]->address(),
+           "--registry=" + this->registry.address(),
+           "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
+    this->processes[node] = std::make_unique<ChildProcess>(
+        builtProgram("galenarackd"), arguments, this->folder.path() / ("node-" + std::to_string(node) + ".log"));
+}
+
+bool PlatformFleet::awaitReady(unsigned node)
+{
+    const Tcp::endpoint address(asio::ip::make_address(this->vmOf(node)), static_cast<std::uint16_t>(this->basePort + 2));
+    for (int i = 0; i < 200; ++i) {
+        HttpClient client(this->context, address);
+        HttpRequest request(boost::beast::http::verb::get, "/readyz", 11);
+        bool ready = false;
+        bool done = false;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                const Exchange exchange = co_await client.exchange(std::move(request), std::chrono::milliseconds(500));
+                ready = exchange.end == ExchangeEnd::Complete && exchange.response.result_int() == 200;
+                done = true;
+            },
+            asio::detached);
+        while (!done) {
+            this->runFor(std::chrono::milliseconds(20));
+        }
+        if (ready) {
+            return true;
+        }
+        this->runFor(std::chrono::milliseconds(80));
+    }
+    return false;
+}
+
+asio::awaitable<CallerView> PlatformFleet::send(
+    unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
+{
+    HttpClient client(this->context, Tcp::endpoint(asio::ip::make_address(this->vmOf(node)), this->basePort));
+    HttpRequest request(boost::beast::http::string_to_verb(method), target, 11);
+    request.set(boost::beast::http::field::host, "fleet.example");
+    request.set(requestIdField, id);
+    request.set("Deadline-Ms", std::to_string(timeout.count()));
+    request.body() = method == "POST" ? std::string(2000, 'x') : "";
+    request.prepare_payload();
+    const Exchange exchange = co_await client.exchange(std::move(request), timeout + std::chrono::milliseconds(1500));
+    CallerView view;
+    view.end = exchange.end;
+    if (exchange.end == ExchangeEnd::Complete) {
+        view.status = exchange.response.result_int();
+        view.isSigned = exchange.response.count("Server-Seal") == 1;
+        view.echoedId = std::string(exchange.response[requestIdField]);
+        view.body = exchange.response.body();
+    }
+    co_return view;
+}
+
+unsigned PlatformFleet::runsOf(const std::string &id) const
+{
+    unsigned runs = 0;
+    for (const auto &upstream : this->upstreams) {
+        const auto entry = upstream->runs.find(id);
+        runs += entry == upstream->runs.end() ? 0 : entry->second;
+    }
+    return runs;
+}
+
+std::vector<unsigned> PlatformFleet::backNodes() const
+{
+    std::vector<unsigned> nodes;
+    for (unsigned node = 1; node < this->nodeCount; node += 2) {
+        nodes.push_back(node);
+    }
+    return nodes;
+}
+
+void PlatformFleet::runFor(std::chrono::milliseconds time)
+{
+    this->context.restart();
+    this->context.run_for(time);
+}
+
+} // namespace Galenarack
