Keep the sockets of stand-ins out of child processes

Cause: processtests.platformtest followsTheStore: a node started after the store's stand-in inherited its listening socket, so connections to the closed store were accepted and never answered. Change: descriptors above standard error are closed on exec. Ruled out: the node's view of its contact: it had an open connection.

--- a/processtests/support/childprocess.cpp
+++ b/processtests/support/childprocess.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <poll.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -33,6 +34,8 @@
     if (getppid() != parent || dup2(output, STDOUT_FILENO) < 0 || dup2(errors, STDERR_FILENO) < 0) {
         _exit(exitCannotStart);
     }
+    // A socket of a stand-in that a child inherits stays open after the stand-in has closed it.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(arguments[0], arguments);
     _exit(exitCannotStart);
 }
