--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -103,7 +103,7 @@
 HomeNode::HomeNode(const asio::any_io_executor &executor,
                    NodeIdentity identity,
                    std::span<const HomeUpstream> upstreams,
-                   UpstreamLimits upstreamLimits,
+                   const UpstreamLimits &upstreamLimits,
                    LedgerLimits ledgerLimits,
                    Metrics &metrics,
                    AuditTrail &audit,
--- a/galenarack/home/homenode.h
+++ b/galenarack/home/homenode.h
@@ -59,7 +59,7 @@
     HomeNode(const boost::asio::any_io_executor &executor,
              NodeIdentity identity,
              std::span<const HomeUpstream> upstreams,
-             UpstreamLimits upstreamLimits,
+             const UpstreamLimits &upstreamLimits,
              LedgerLimits ledgerLimits,
              Metrics &metrics,
              AuditTrail &audit,
--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -128,7 +128,7 @@
 UpstreamPool::UpstreamPool(asio::any_io_executor executor, asio::ip::tcp::endpoint address, UpstreamLimits limits)
     : executor(std::move(executor))
     , address(std::move(address))
-    , limits(limits)
+    , limits(std::move(limits))
 {
 }
 
--- a/unittests/trafficconfigtest.cpp
+++ b/unittests/trafficconfigtest.cpp
@@ -16,7 +16,7 @@
     return route;
 }
 
-UpstreamEntry entryOf(std::string id, std::string vm, std::uint64_t revision)
+UpstreamEntry entryOf(std::string id, const std::string &vm, std::uint64_t revision)
 {
     UpstreamEntry entry;
     entry.id = std::move(id);
