Share the reading of callers' requests, and remove what the platform path does not use

Cause: CallerServer had copies of four functions of IngressServer, and its copy of hasOneLength had lost the check that a Content-Length is digits only; the router stripped the fields between nodes in two places; the follower had two pauses of the same length and a start time for choosing between them; FleetView::retainEntries was never called. Change: ingress/callermessage serves both servers, with the stricter check; one toCallerResponse; one pause; the unused function is gone. Ruled out: one server class for both modes, which needs pipelining in the earlier one as well.

--- a/galenarack/fleet/fleetview.cpp
+++ b/galenarack/fleet/fleetview.cpp
@@ -1,7 +1,5 @@
 #include <galenarack/fleet/fleetview.h>
 
-#include <algorithm>
-
 namespace Galenarack {
 
 bool FleetView::applyConfig(std::shared_ptr<const TrafficConfig> config)
@@ -55,19 +53,6 @@
     ++this->changes;
 }
 
-void FleetView::retainEntries(std::span<const std::string> listed, std::uint64_t revision)
-{
-    std::vector<std::string> missing;
-    for (const auto &[id, entry] : this->upstreams) {
-        if (!std::ranges::binary_search(listed, id)) {
-            missing.push_back(id);
-        }
-    }
-    for (const std::string &id : missing) {
-        this->removeEntry(id, revision);
-    }
-}
-
 const UpstreamEntry *FleetView::find(std::string_view id) const
 {
     const auto known = this->upstreams.find(id);
--- a/galenarack/fleet/fleetview.h
+++ b/galenarack/fleet/fleetview.h
@@ -11,10 +11,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace Galenarack {
 
@@ -36,10 +34,6 @@
     /// @param revision of the registry at the removal
     void removeEntry(std::string_view id, std::uint64_t revision);
 
-    /// Removes all upstreams that a complete read of the registry did not list.
-    /// @param listed sorted ids
-    void retainEntries(std::span<const std::string> listed, std::uint64_t revision);
-
     /// @return the configuration in force, or null before the first
     const std::shared_ptr<const TrafficConfig> &config() const
     {
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -26,7 +26,6 @@
 
 asio::awaitable<void> RegistryFollower::run()
 {
-    this->startedAt = NodeClock::now();
     for (;;) {
         const bool done = this->revision != 0 ? co_await this->watchOnce() : co_await this->readAll();
         if (!done) {
@@ -89,8 +88,7 @@
     this->take(*read);
     this->revision = std::max(this->revision, read->revision);
     if (!read->changes.empty()) {
-        const bool isStarting = NodeClock::now() - this->startedAt < this->settings.startTime;
-        co_await this->pause(isStarting ? this->settings.startPause : this->settings.batchPause);
+        co_await this->pause(this->settings.batchPause);
     }
     co_return true;
 }
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -21,9 +21,6 @@
     /// Pause after a change before the next watch, so that changes which come together cost one call. The fleet must
     /// follow a change within 2 s.
     Duration batchPause = std::chrono::milliseconds(300);
-    /// The same while the fleet starts and its upstreams register one after the other.
-    Duration startPause = std::chrono::milliseconds(300);
-    Duration startTime = std::chrono::seconds(5); ///< From the start of this node.
     Duration retryMin = std::chrono::milliseconds(250); ///< First pause after a failed call; doubles with each one in a row.
     Duration retryMax = std::chrono::seconds(1);
     /// After contact is regained, removals are held this long: entries that lapsed while the registry was unavailable
@@ -77,7 +74,6 @@
     bool synchronized = false;
     bool contact = false;
     unsigned failuresInRow = 0;
-    TimePoint startedAt;
     TimePoint holdRemovalsUntil;
     std::map<std::string, std::uint64_t, std::less<>> heldRemovals; ///< Revision of the removal by upstream.
     Log log{"registry"};
--- a/galenarack/ingress/ingressserver.cpp
+++ b/galenarack/ingress/ingressserver.cpp
@@ -2,7 +2,7 @@
 
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/scopeguard.h>
-#include <galenarack/core/text.h>
+#include <galenarack/ingress/callermessage.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -29,59 +29,6 @@
 /// Connections above the limit that are told so at the same time; others are closed without a response.
 constexpr std::size_t maxRefusedConnections = 64;
 
-ErrorKind kindOfReadError(const beast::error_code &error)
-{
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return ErrorKind::HeaderTooLarge;
-    }
-    if (error == http::error::body_limit) {
-        return ErrorKind::BodyTooLarge;
-    }
-    if (error == http::error::bad_content_length || error == http::error::multiple_content_length
-        || error == http::error::bad_transfer_encoding) {
-        return ErrorKind::AmbiguousLength;
-    }
-    return ErrorKind::InvalidRequest;
-}
-
-/// Beast takes some requests whose end another server could see elsewhere: repeated lengths, and codings other than chunked,
-/// which would be read as no body (RFC 9112 sections 6.1 and 6.3).
-/// @return whether the request states the length of its body in exactly one way, or in none
-bool hasOneLength(const http::request<http::string_body> &message)
-{
-    const std::size_t lengths = message.count(http::field::content_length);
-    const std::size_t codings = message.count(http::field::transfer_encoding);
-    if (lengths + codings > 1) {
-        return false;
-    }
-    if (codings == 1) {
-        return message.version() == 11 && beast::iequals(message[http::field::transfer_encoding], "chunked");
-    }
-    const std::string_view length = message[http::field::content_length];
-    return std::ranges::all_of(length, [](char c) {
-        return c >= '0' && c <= '9';
-    });
-}
-
-/// @return whether the caller can still read a response after this error
-bool isProtocolError(const beast::error_code &error)
-{
-    return error != http::error::end_of_stream && error != http::error::partial_message && error != beast::error::timeout
-           && error.category() == beast::error_code(http::error::end_of_stream).category();
-}
-
-CallerRequest toCallerRequest(http::request<http::string_body> message)
-{
-    CallerRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers.add(toLowerAscii(field.name_string()), field.value());
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
 /// @return the value of a query parameter, decoded; empty when it is absent
 std::string queryParameter(std::string_view target, std::string_view name)
 {
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -2,7 +2,7 @@
 
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/socketoptions.h>
-#include <galenarack/core/text.h>
+#include <galenarack/ingress/callermessage.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -32,51 +32,6 @@
 /// Time for the bytes of a body after its header, and for a response.
 constexpr Duration transferTimeout = std::chrono::seconds(15);
 
-ErrorKind kindOfReadError(const beast::error_code &error)
-{
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return ErrorKind::HeaderTooLarge;
-    }
-    if (error == http::error::body_limit) {
-        return ErrorKind::BodyTooLarge;
-    }
-    if (error == http::error::bad_content_length || error == http::error::multiple_content_length
-        || error == http::error::bad_transfer_encoding) {
-        return ErrorKind::AmbiguousLength;
-    }
-    return ErrorKind::InvalidRequest;
-}
-
-/// @return whether the request states the length of its body in at most one way (RFC 9112 sections 6.1 and 6.3)
-bool hasOneLength(const http::request<http::string_body> &message)
-{
-    const std::size_t lengths = message.count(http::field::content_length);
-    const std::size_t codings = message.count(http::field::transfer_encoding);
-    if (lengths + codings > 1) {
-        return false;
-    }
-    return codings == 0 || (message.version() == 11 && beast::iequals(message[http::field::transfer_encoding], "chunked"));
-}
-
-/// @return whether the caller can still read a response after this error
-bool isProtocolError(const beast::error_code &error)
-{
-    return error != http::error::end_of_stream && error != http::error::partial_message
-           && error.category() == beast::error_code(http::error::end_of_stream).category();
-}
-
-CallerRequest toCallerRequest(http::request<http::string_body> message)
-{
-    CallerRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers.add(toLowerAscii(field.name_string()), field.value());
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
 } // namespace
 
 /// A request whose response has not been sent.
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -51,6 +51,20 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// @return the response of an upstream without the fields between nodes
+PeerResponse toCallerResponse(PeerResponse upstreamResponse)
+{
+    PeerResponse response;
+    response.status = upstreamResponse.status;
+    response.body = std::move(upstreamResponse.body);
+    for (const HeaderField &field : upstreamResponse.headers.all()) {
+        if (!field.name.starts_with(PeerHeader::prefix) && field.name != "content-length") {
+            response.headers.add(field.name, field.value);
+        }
+    }
+    return response;
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(asio::any_io_executor executor,
@@ -548,14 +562,7 @@
 
 PeerResponse RequestRouter::respond(const Course &course, Attempt &attempt)
 {
-    PeerResponse response;
-    response.status = attempt.result->status;
-    response.body = std::move(attempt.result->body);
-    for (const HeaderField &field : attempt.result->headers.all()) {
-        if (!field.name.starts_with(PeerHeader::prefix) && field.name != "content-length") {
-            response.headers.add(field.name, field.value);
-        }
-    }
+    PeerResponse response = toCallerResponse(std::move(*attempt.result));
     const TimePoint now = NodeClock::now();
     this->metrics.countRequest(course.service, attempt.upstream, std::nullopt, now - course.started);
     if (response.status >= serverError || course.attempts.size() > 1 || now > course.targetBy) {
@@ -576,15 +583,7 @@
 PeerResponse RequestRouter::fail(Course &course, bool timedOut)
 {
     if (course.failure) {
-        PeerResponse response;
-        response.status = course.failure->status;
-        response.body = course.failure->body;
-        for (const HeaderField &field : course.failure->headers.all()) {
-            if (!field.name.starts_with(PeerHeader::prefix) && field.name != "content-length") {
-                response.headers.add(field.name, field.value);
-            }
-        }
-        return response;
+        return toCallerResponse(std::move(*course.failure));
     }
     const bool isCommitted = this->isWorking(course);
     if (course.mayHaveRun || isCommitted) {
