Ask recovered upstreams again, and run in doubt before refusing

The nodes kept a gray report for as long as they sent nothing there, and one pair of nodes talks once in about 6 s. When all upstreams that were asked handed a request back, the least sum of wait and failure cost was looked at only, so a long queue there meant a refusal although a home with free slots was probably sound.

Change: a report of grayness ages like one of load; among the hand-backs with a useful wait the least cost is chosen, for non-idempotent work up to a probability of 0.6.

Ruled out: slots as the limit (30 of 80 sampled slots were in use), path failures (22 requests ended without an upstream).

Recovery still depends on rare idempotent trials.

--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -10,6 +10,12 @@
 /// Age at which a report of load has lost most of its meaning.
 constexpr double loadAgeSeconds = 1.0;
 
+/// Probability of being gray that is assumed of an upstream without a recent report.
+constexpr double unknownGrayProbability = 0.05;
+
+/// Above this probability a gray upstream gets no non-idempotent work, not even for want of a better one.
+constexpr double lastResortLimit = 0.6;
+
 /// Cost of bytes between failure domains, as a share of the target latency.
 constexpr double crossDomainShare = 0.25;
 
@@ -38,6 +44,20 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// @return what is left of a report of this age, 0 to 1
+double reportWeight(TimePoint reportedAt, TimePoint now)
+{
+    return std::exp(-std::max(seconds(now - reportedAt), 0.0) / loadAgeSeconds);
+}
+
+/// @return probability of being gray. It returns to that of an unknown upstream when no report comes, so that one which has
+///         recovered is asked again; its home knows better and hands the request back if it has not.
+double expectedGrayProbability(const UpstreamBelief &belief, TimePoint now)
+{
+    const double weight = reportWeight(belief.loadAt, now);
+    return unknownGrayProbability + (belief.load.grayProbability - unknownGrayProbability) * weight;
+}
+
 } // namespace
 
 Placement::Placement(std::string failureDomain, std::mt19937_64 random)
@@ -75,8 +95,7 @@
 
 Duration Placement::expectedWait(const UpstreamBelief &belief, Duration expected, TimePoint now)
 {
-    const double age = seconds(now - belief.loadAt);
-    const double reported = (belief.load.running + belief.load.waiting) * std::exp(-std::max(age, 0.0) / loadAgeSeconds);
+    const double reported = (belief.load.running + belief.load.waiting) * reportWeight(belief.loadAt, now);
     const double load = std::max<double>(belief.outstanding, reported);
     const double excess = load - belief.entry.slots + 1.0;
     if (excess <= 0) {
@@ -98,7 +117,7 @@
     std::uniform_real_distribution<double> jitter(0.0, jitterShare);
     double cost = seconds(expectedWait(belief, request.expected, now)) * slowness;
     cost += seconds(request.expected) * (slowness - 1.0);
-    cost += seconds(failureCost(request, belief.load.grayProbability));
+    cost += seconds(failureCost(request, expectedGrayProbability(belief, now)));
     cost += target * (shedCost * belief.load.shedShare + jitter(this->random));
     if (belief.entry.failureDomain != this->failureDomain) {
         cost += target * crossDomainShare;
@@ -106,6 +125,26 @@
     return cost;
 }
 
+std::optional<std::size_t> Placement::chooseHandBack(const PlacementRequest &request,
+                                                     std::span<const HandBack> handBacks,
+                                                     Duration longestWait)
+{
+    std::optional<std::size_t> best;
+    Duration bestCost{};
+    for (std::size_t i = 0; i < handBacks.size(); ++i) {
+        const HandBack &handBack = handBacks[i];
+        if (handBack.wait > longestWait || (!request.idempotent && handBack.grayProbability > lastResortLimit)) {
+            continue;
+        }
+        const Duration cost = handBack.wait + failureCost(request, handBack.grayProbability);
+        if (!best || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 UpstreamBelief *Placement::choose(const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now)
 {
     UpstreamBelief *best = nullptr;
--- a/galenarack/policy/placement.h
+++ b/galenarack/policy/placement.h
@@ -3,7 +3,9 @@
 #include <galenarack/core/clock.h>
 #include <galenarack/fleet/upstreamentry.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -48,6 +50,14 @@
     bool acceptsGray = false; ///< May go to an ejected upstream for want of a better one.
 };
 
+/// An upstream whose home handed a request back before running it.
+struct HandBack
+{
+    std::string upstream; ///< Id.
+    Duration wait{}; ///< For a slot there.
+    double grayProbability = 0;
+};
+
 /// Choice of the upstream for a request: the least expected time until a good response.
 ///
 /// Answers uneven load and upstreams of unequal trust. Reports of homes age within a second; the home hands a request back
@@ -77,6 +87,16 @@
     /// The home could not be reached.
     void reportPathFailure(std::string_view id, TimePoint now);
 
+    /// Chooses where a request queues, or runs without trust in the upstream, when all that were asked have handed it back.
+    ///
+    /// Answers overload while some upstreams are gray: a run that probably succeeds is better than a refusal, and a refusal
+    /// that can be repeated is better than non-idempotent work that probably fails.
+    /// @param longestWait that is of use to the caller
+    /// @return index of the upstream, or nothing when the caller is to be refused
+    static std::optional<std::size_t> chooseHandBack(const PlacementRequest &request,
+                                                     std::span<const HandBack> handBacks,
+                                                     Duration longestWait);
+
     /// @return cost of a failed run at the upstream, in time
     static Duration failureCost(const PlacementRequest &request, double grayProbability);
 
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -323,17 +323,15 @@
     target.acceptsGray = true;
     target.patience = this->longestWait(course, now);
     while (!course.handBacks.empty()) {
-        const auto least = std::ranges::min_element(course.handBacks, {}, [](const HandBack &handBack) {
-            return handBack.wait + handBack.failureCost;
-        });
-        if (least->wait > target.patience) {
-            // Too long to be of use, so the caller is told at once.
+        const auto chosen = Placement::chooseHandBack(request, course.handBacks, target.patience);
+        if (!chosen) {
+            // The caller is told at once: the waits are too long to be of use, or the run would probably fail.
             course.lastEnd = OfferEnd::Expired;
             return {};
         }
-        UpstreamBelief *known = this->placement.find(least->upstream);
-        course.excluded.push_back(least->upstream);
-        course.handBacks.erase(least);
+        UpstreamBelief *known = this->placement.find(course.handBacks[*chosen].upstream);
+        course.excluded.push_back(course.handBacks[*chosen].upstream);
+        course.handBacks.erase(course.handBacks.begin() + static_cast<std::ptrdiff_t>(*chosen));
         if (known != nullptr && !known->entry.draining && now >= known->unreachableUntil) {
             target.belief = known;
             return target;
@@ -510,13 +508,10 @@
 {
     const OfferReport &report = *attempt.report;
     if (report.end == OfferEnd::Busy || report.end == OfferEnd::Ejected) {
-        PlacementRequest request;
-        request.idempotent = course.route->idempotent;
-        request.target = course.route->targetLatency;
         HandBack handBack;
         handBack.upstream = attempt.upstream;
         handBack.wait = report.end == OfferEnd::Busy ? report.retryAfter : Duration::zero();
-        handBack.failureCost = Placement::failureCost(request, report.load.grayProbability);
+        handBack.grayProbability = report.load.grayProbability;
         course.retryAfter = std::max(course.retryAfter, handBack.wait);
         // A second hand-back means that the estimates of the first no longer hold.
         if (std::ranges::find(course.excluded, attempt.upstream) == course.excluded.end()) {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -74,14 +74,6 @@
         std::optional<OfferReport> report;
     };
 
-    /// An upstream whose home handed the request back.
-    struct HandBack
-    {
-        std::string upstream;
-        Duration wait{}; ///< For a slot there.
-        Duration failureCost{}; ///< Expected cost of a failed run there.
-    };
-
     /// An upstream to ask, and on what terms.
     struct Target
     {
--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(spreadsEqualUpstreams);
     CPPUNIT_TEST(triesEjectedUpstream);
     CPPUNIT_TEST(forgetsEarlierRun);
+    CPPUNIT_TEST(asksAgainAfterOldReport);
+    CPPUNIT_TEST(choosesAmongHandBacks);
     CPPUNIT_TEST(estimatesDurations);
     CPPUNIT_TEST_SUITE_END();
 
@@ -169,6 +171,57 @@
         CPPUNIT_ASSERT(placement.choose(requestOf(true), {}, start) != nullptr);
     }
 
+    /// Replays an upstream that was gray and has recovered while another one is busy. Guards against a node that avoids it for
+    /// as long as no request goes there: its home would hand a request back within one round trip.
+    void asksAgainAfterOldReport()
+    {
+        const struct
+        {
+            const char *name;
+            bool idempotent;
+            Duration age;
+            const char *expected;
+        } cases[] = {
+            {"fresh report", false, 100ms, "busy"},
+            {"fresh report, idempotent", true, 100ms, "busy"},
+            {"old report", false, 5s, "recovered"},
+            {"old report, idempotent", true, 5s, "recovered"},
+        };
+        for (const auto &row : cases) {
+            Placement placement("a", std::mt19937_64(7));
+            placement.setEntries(std::vector<UpstreamEntry>{entryOf("recovered", "a"), entryOf("busy", "a")}, start);
+            placement.report("recovered", UpstreamLoad{0, 0, 3, 0.9, 1, 0}, start);
+            placement.report("busy", UpstreamLoad{3, 2, 3, 0.02, 1, 0}, start + row.age);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                row.name, std::string(row.expected), placement.choose(requestOf(row.idempotent), {}, start + row.age)->entry.id);
+        }
+    }
+
+    /// Replays overload in which a third of the upstreams are gray. Guards against a request that is refused for the queues at
+    /// trusted upstreams while one that is probably sound has free slots, and against non-idempotent work for one that
+    /// probably fails it.
+    void choosesAmongHandBacks()
+    {
+        const struct
+        {
+            const char *name;
+            bool idempotent;
+            std::vector<HandBack> handBacks;
+            const char *expected; ///< Empty for none.
+        } cases[] = {
+            {"shortest wait", true, {{"long", 400ms, 0.0}, {"short", 100ms, 0.0}}, "short"},
+            {"all too long", false, {{"long", 600ms, 0.0}, {"longer", 700ms, 0.0}}, ""},
+            {"in doubt and free", false, {{"long", 600ms, 0.0}, {"doubtful", 0ms, 0.4}}, "doubtful"},
+            {"trusted in time", false, {{"short", 100ms, 0.0}, {"doubtful", 0ms, 0.4}}, "short"},
+            {"probably fails", false, {{"long", 600ms, 0.0}, {"gray", 0ms, 0.9}}, ""},
+            {"probably fails, idempotent", true, {{"long", 600ms, 0.0}, {"gray", 0ms, 0.9}}, "gray"},
+        };
+        for (const auto &row : cases) {
+            const auto chosen = Placement::chooseHandBack(requestOf(row.idempotent), row.handBacks, 520ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(row.expected), chosen ? row.handBacks[*chosen].upstream : std::string());
+        }
+    }
+
     /// Guards against an estimate that one outlier ruins, or that never learns.
     void estimatesDurations()
     {
