Trace a request through the logs; faults on paths in the soak

The homes log each change of trust with its evidence, and the last line of a request names the homes that handed it back with wait, grayness and age.

The soak leads peers, store, upstreams and callers through relays that delay, reset, silence or cut one way, publishes configurations and leaving upstreams in series, and checks after the faults that a leaving upstream gets no work, a configuration is in force and the one before it is not, and a planned stop loses no request.

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -140,6 +140,9 @@
     if (overlap(settings.operatorsAddress, settings.callerAddress) || overlap(settings.operatorsAddress, settings.peerAddress)) {
         return invalid("operators_address", raw.operatorsAddress, allowed);
     }
+    if (overlap(settings.callerAddress, settings.peerListenAddress) || overlap(settings.operatorsAddress, settings.peerListenAddress)) {
+        return invalid("peer_listen_address", raw.peerListenAddress, allowed);
+    }
     const auto isOwn = [&settings](const asio::ip::tcp::endpoint &address) {
         return overlap(address, settings.callerAddress) || overlap(address, settings.peerAddress)
                || overlap(address, settings.operatorsAddress);
@@ -197,6 +200,13 @@
     status.Update(checkName("failure_domain", raw.failureDomain));
     status.Update(checkEndpoint("caller_address", raw.callerAddress, settings.callerAddress));
     status.Update(checkEndpoint("peer_address", raw.peerAddress, settings.peerAddress));
+    settings.peerListenAddress = settings.peerAddress;
+    if (!raw.peerListenAddress.empty()) {
+        status.Update(checkEndpoint("peer_listen_address", raw.peerListenAddress, settings.peerListenAddress));
+        if (raw.registry.empty()) {
+            status.Update(invalid("peer_listen_address", raw.peerListenAddress, "no value without --registry"));
+        }
+    }
     status.Update(checkEndpoint("operators_address", raw.operatorsAddress, settings.operatorsAddress));
     status.Update(raw.registry.empty() ? checkEndpoint("config_service", raw.configService, settings.configService)
                                        : checkRegistry(raw, settings));
--- a/galenarack/node/settings.h
+++ b/galenarack/node/settings.h
@@ -30,6 +30,7 @@
     std::string failureDomain;
     boost::asio::ip::tcp::endpoint callerAddress;
     boost::asio::ip::tcp::endpoint peerAddress;
+    boost::asio::ip::tcp::endpoint peerListenAddress; ///< Bound for other nodes; differs from peerAddress behind a relay.
     boost::asio::ip::tcp::endpoint operatorsAddress;
     boost::asio::ip::tcp::endpoint configService; ///< Unused with a registry.
     std::optional<boost::asio::ip::tcp::endpoint> registry; ///< Store with the configuration and the entries of the upstreams.
@@ -49,6 +50,7 @@
     std::string failureDomain;
     std::string callerAddress;
     std::string peerAddress;
+    std::string peerListenAddress;
     std::string operatorsAddress;
     std::string configService;
     std::string registry;
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -51,6 +51,25 @@
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned misdirected = 421;
 
+/// @return what an upstream with this probability of being gray gets
+std::string_view trustName(double grayProbability)
+{
+    return grayProbability > ejectionLimit ? "ejected" : grayProbability > onceOnlyLimit ? "idempotent-only" : "trusted";
+}
+
+std::string_view evidenceName(TrustEvidence evidence)
+{
+    switch (evidence) {
+    case TrustEvidence::Success:
+        return "success";
+    case TrustEvidence::Failure:
+        return "failure";
+    case TrustEvidence::Overdue:
+        return "overdue";
+    }
+    return "";
+}
+
 UpstreamLimits poolLimits(const Dialect &dialect)
 {
     UpstreamLimits limits;
@@ -275,7 +294,7 @@
 asio::awaitable<PeerResponse> HomeService::run(const Offer &offer, PeerCall &call, TimePoint deadline, std::uint64_t ticket)
 {
     const TimePoint started = NodeClock::now();
-    this->runs.emplace(ticket, Run{started, offer.expected, offer.failureDomain, false});
+    this->runs.emplace(ticket, Run{started, offer.expected, offer.failureDomain, offer.requestId, false});
     const ScopeGuard finished([this, ticket] {
         this->runs.erase(ticket);
     });
@@ -350,25 +369,41 @@
     switch (end) {
     case OfferEnd::Answered:
         if (status < serverError) {
-            this->trust.observe(offer.failureDomain, TrustEvidence::Success, now);
+            this->observe(offer.failureDomain, TrustEvidence::Success, offer.requestId, now);
             // The next trial need not wait, so that a recovered upstream is back after a few requests.
             this->lastTrial = now - trialInterval;
             const double ratio = std::chrono::duration<double>(now - started)
                                  / std::max<std::chrono::duration<double>>(offer.expected, std::chrono::milliseconds(1));
             this->slowness += slownessWeight * (std::clamp(ratio, 0.25, 8.0) - this->slowness);
         } else if (!nestedFailed && status != gatewayTimeout) {
-            this->trust.observe(offer.failureDomain, TrustEvidence::Failure, now);
+            this->observe(offer.failureDomain, TrustEvidence::Failure, offer.requestId, now);
         }
         break;
     case OfferEnd::Broken:
     case OfferEnd::Unconnected:
-        this->trust.observe(offer.failureDomain, TrustEvidence::Failure, now);
+        this->observe(offer.failureDomain, TrustEvidence::Failure, offer.requestId, now);
         break;
     default:
         break;
     }
 }
 
+void HomeService::observe(std::string_view failureDomain, TrustEvidence evidence, std::string_view requestId, TimePoint now)
+{
+    const std::string_view before = trustName(this->trust.grayProbability(failureDomain, now));
+    this->trust.observe(failureDomain, evidence, now);
+    const double gray = this->trust.grayProbability(failureDomain, now);
+    if (trustName(gray) != before) {
+        this->log.info("trust changed",
+                       {{"request_id", requestId},
+                        {"failure_domain", failureDomain},
+                        {"evidence", evidenceName(evidence)},
+                        {"before", before},
+                        {"after", trustName(gray)},
+                        {"gray", gray}});
+    }
+}
+
 void HomeService::requestFailed(TimePoint started)
 {
     this->lastFailureStarted = std::max(this->lastFailureStarted, started);
@@ -380,7 +415,7 @@
         const Duration limit = std::max(std::chrono::duration_cast<Duration>(run.expected * overdueFactor), overdueLeast);
         if (!run.countedOverdue && now - run.started > limit) {
             run.countedOverdue = true;
-            this->trust.observe(run.failureDomain, TrustEvidence::Overdue, now);
+            this->observe(run.failureDomain, TrustEvidence::Overdue, run.requestId, now);
         }
     }
     // A leaving upstream gets no work from its queue either.
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -81,6 +81,7 @@
         TimePoint started;
         Duration expected{};
         std::string failureDomain; ///< Of the ingress.
+        std::string requestId;
         bool countedOverdue = false;
     };
 
@@ -96,6 +97,7 @@
     PeerResponse ended(const Offer &offer, OfferEnd end, Duration retryAfter);
     UpstreamLoad load(std::string_view failureDomain, TimePoint now) const;
     void advance(TimePoint now);
+    void observe(std::string_view failureDomain, TrustEvidence evidence, std::string_view requestId, TimePoint now);
     const UpstreamEntry *entry() const;
 
     boost::asio::any_io_executor executor;
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -100,7 +100,7 @@
         return makeError(ErrorKind::SettingInvalid, std::string("operators_address cannot be bound: ") + error.what());
     }
     absl::Status status = this->callers.listen(this->settings.callerAddress);
-    status.Update(this->links.listen(this->settings.peerAddress));
+    status.Update(this->links.listen(this->settings.peerListenAddress));
     if (!status.ok()) {
         return status;
     }
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace Galenarack {
 
@@ -59,6 +61,23 @@
     return response;
 }
 
+/// Appends what a home said when it handed a request back, such as "i-7 busy wait_ms=300 gray=0.02 age_ms=2".
+void noteHandBack(std::string &text, std::string_view upstream, const OfferReport &report, Duration age)
+{
+    constexpr std::size_t longest = 1000;
+    if (text.size() > longest) {
+        return;
+    }
+    std::array<char, 96> figures{};
+    std::snprintf(figures.data(),
+                  figures.size(),
+                  " wait_ms=%.0f gray=%.2f age_ms=%.0f",
+                  seconds(report.retryAfter) * 1000,
+                  report.load.grayProbability,
+                  seconds(age) * 1000);
+    text.append(text.empty() ? "" : "; ").append(upstream).append(" ").append(offerEndName(report.end)).append(figures.data());
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(asio::any_io_executor executor,
@@ -499,6 +518,7 @@
 RequestRouter::NextStep RequestRouter::afterHandBack(Course &course, const Attempt &attempt)
 {
     const OfferReport &report = *attempt.report;
+    noteHandBack(course.handBackText, attempt.upstream, report, NodeClock::now() - attempt.started);
     if (report.end == OfferEnd::Busy || report.end == OfferEnd::Ejected) {
         HandBack handBack;
         handBack.upstream = attempt.upstream;
@@ -561,6 +581,7 @@
                         {"status", static_cast<std::int64_t>(response.status)},
                         {"offers", static_cast<std::int64_t>(course.offers)},
                         {"arrivals", static_cast<std::int64_t>(course.sentTo.size())},
+                        {"handed_back", course.handBackText},
                         {"ran_ms", toMilliseconds(TimePoint(attempt.report->ran))},
                         {"took_ms", toMilliseconds(now) - toMilliseconds(course.started)}});
     }
@@ -605,6 +626,7 @@
                     {"offers", static_cast<std::int64_t>(course.offers)},
                     {"arrivals", static_cast<std::int64_t>(course.sentTo.size())},
                     {"last_outcome", offerEndName(course.lastEnd)},
+                    {"handed_back", course.handBackText},
                     {"config_version", static_cast<std::int64_t>(course.config ? course.config->version : 0)},
                     {"took_ms", toMilliseconds(now) - toMilliseconds(course.started)}});
     return response;
--- a/galenarackctl/command.cpp
+++ b/galenarackctl/command.cpp
@@ -7,6 +7,7 @@
 #include "manifestcommand.h"
 #include "outcomecommand.h"
 #include "statuscommand.h"
+#include "tracecommand.h"
 #include "upstreamscommand.h"
 
 #include <array>
@@ -31,6 +32,7 @@
                 "print why a node treats a route, upstream, service or account as it does (--nodes)",
                 &runExplain},
         Command{"outcome", "ID", "print what each node knows about the execution of a request (--nodes)", &runOutcome},
+        Command{"trace", "ID FILE...", "print the story of a request and its cause from logs of nodes; - is standard input", &runTrace},
         Command{"audit", "[AFTER]", "print the audit trail of each node, records above AFTER (--nodes)", &runAudit},
     };
     return commands;
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -19,6 +19,9 @@
 DEFINE_string(vm, "", "Identity: name of this VM, unique in the fleet: 1 to 63 letters, digits or '-'");
 DEFINE_string(failure_domain, "", "Identity: failure domain of this VM");
 DEFINE_string(caller_address, "", "Addresses: IP:PORT for callers (HTTP/1.1)");
+DEFINE_string(peer_listen_address,
+              "",
+              "Addresses: with --registry, IP:PORT that is bound for other nodes when they reach --peer_address through a relay");
 DEFINE_string(peer_address, "", "Addresses: IP:PORT for other nodes (HTTP/2 and UDP); the port is the same on all nodes of a fleet");
 DEFINE_string(operators_address, "", "Addresses: IP:PORT for operators (HTTP/1.1)");
 DEFINE_string(home_upstreams, "", "Addresses: upstreams on this VM, NAME=IP:PORT,...");
@@ -66,6 +69,7 @@
     raw.failureDomain = FLAGS_failure_domain;
     raw.callerAddress = FLAGS_caller_address;
     raw.peerAddress = FLAGS_peer_address;
+    raw.peerListenAddress = FLAGS_peer_listen_address;
     raw.operatorsAddress = FLAGS_operators_address;
     raw.configService = FLAGS_config_service;
     raw.registry = FLAGS_registry;
--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -60,10 +60,33 @@
     CPPUNIT_TEST(servesThroughHomes);
     CPPUNIT_TEST(repeatsOnlyWhatMayRepeat);
     CPPUNIT_TEST(followsTheStore);
+    CPPUNIT_TEST(followsDenseChanges);
     CPPUNIT_TEST(leavesWithoutLoss);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Replays entries that change each 50 ms. Guards against a call of each node for each change, which the store's rate does
+    /// not bear in a large fleet, and against a pause so long that a change is not followed in time.
+    void followsDenseChanges()
+    {
+        PlatformFleet fleet(nodes);
+        startAll(fleet);
+        // The watches of the start have ended by then.
+        fleet.runFor(2s);
+        const unsigned before = fleet.registry.callCount();
+        for (int i = 0; i < 80; ++i) {
+            fleet.publishEntry(0, "ready");
+            fleet.runFor(50ms);
+        }
+        // Four seconds at one call in 0.9 s, and two shorter pauses at first.
+        CPPUNIT_ASSERT(fleet.registry.callCount() - before <= 7 * nodes);
+        fleet.publishConfig("/read-next/");
+        fleet.runFor(1200ms);
+        for (unsigned node = 0; node < nodes; ++node) {
+            CPPUNIT_ASSERT_EQUAL(200U, request(fleet, node, "GET", "/read-next/x", "d" + std::to_string(node)).status);
+        }
+    }
+
     /// Guards against a request that runs elsewhere than its route says, under another caller, or without its own response.
     void servesThroughHomes()
     {
--- a/processtests/soaktest.cpp
+++ b/processtests/soaktest.cpp
@@ -21,6 +21,10 @@
 constexpr auto steps = 24;
 constexpr auto stepTime = 250ms;
 
+/// Bounds of the platform's sites for a leaving upstream and for a new configuration.
+constexpr auto drainTime = 2000ms;
+constexpr auto configTime = 2000ms;
+
 /// Promises that callers and upstreams have seen broken, one line each.
 struct Promises
 {
@@ -61,11 +65,12 @@
             this->fleet.runFor(stepTime);
         }
         this->endFaults();
-        while (this->open > 0) {
-            this->fleet.runFor(20ms);
-        }
+        this->awaitEnds();
         this->checkRuns();
         this->checkRecovery();
+        this->checkLeavingUpstream();
+        this->checkNewConfig();
+        this->checkPlannedStop();
         return this->promises.broken;
     }
 
@@ -102,7 +107,7 @@
     {
         const unsigned node = this->pick(nodes);
         const auto process = this->fleet.processes[node].get();
-        switch (this->pick(9)) {
+        switch (this->pick(13)) {
         case 0:
             process->kill();
             this->stopped.erase(node);
@@ -130,6 +135,16 @@
         case 7:
             this->fleet.upstreams[node]->behaviour.work = std::chrono::milliseconds(10 + this->pick(600));
             break;
+        case 8:
+        case 9:
+            this->injectPathFault(node);
+            break;
+        case 10:
+            this->fleet.publishConfig("/read/");
+            break;
+        case 11:
+            this->fleet.publishEntry(node, this->pick(2) == 0 ? "draining" : "ready");
+            break;
         default:
             this->resume();
             break;
@@ -137,6 +152,42 @@
         this->restartEnded();
     }
 
+    /// Delays, resets, silences or cuts one way a path of a node, or ends such a fault.
+    void injectPathFault(unsigned node)
+    {
+        const auto path = static_cast<PlatformFleet::Path>(this->pick(PlatformFleet::pathCount));
+        const bool existingOnly = this->pick(2) == 0;
+        StandIns::PathFault fault;
+        switch (this->pick(5)) {
+        case 0:
+            fault.delay = std::chrono::milliseconds(5 + this->pick(150));
+            break;
+        case 1:
+            fault.forwardSilent = true;
+            fault.backwardSilent = true;
+            break;
+        case 2:
+            fault.forwardSilent = this->pick(2) == 0;
+            fault.backwardSilent = !fault.forwardSilent;
+            break;
+        case 3:
+            this->fleet.resetPath(node, path);
+            return;
+        default:
+            break;
+        }
+        this->fleet.setPathFault(node, path, fault, existingOnly);
+    }
+
+    void clearPathFaults()
+    {
+        for (unsigned node = 0; node < nodes; ++node) {
+            for (unsigned path = 0; path < PlatformFleet::pathCount; ++path) {
+                this->fleet.setPathFault(node, static_cast<PlatformFleet::Path>(path), {}, false);
+            }
+        }
+    }
+
     void resume()
     {
         for (const unsigned node : this->stopped) {
@@ -158,7 +209,11 @@
     void endFaults()
     {
         this->resume();
+        this->clearPathFaults();
         this->fleet.registry.setReachable(true);
+        for (unsigned node = 0; node < nodes; ++node) {
+            this->fleet.publishEntry(node, "ready");
+        }
         for (const auto &upstream : this->fleet.upstreams) {
             upstream->behaviour = UpstreamBehaviour();
         }
@@ -185,19 +240,75 @@
         }
     }
 
-    void checkRecovery()
+    /// Sends requests to all nodes by turns and waits for their ends; they replace the ones before.
+    void sendMany(int count)
     {
         this->sent.clear();
-        for (unsigned node = 0; node < nodes; ++node) {
-            this->promises.check(this->fleet.awaitReady(node), "node " + std::to_string(node) + " does not recover");
-        }
-        for (int i = 0; i < 30; ++i) {
+        for (int i = 0; i < count; ++i) {
             this->sendOne();
             this->fleet.runFor(30ms);
         }
+        this->awaitEnds();
+    }
+
+    void awaitEnds()
+    {
         while (this->open > 0) {
             this->fleet.runFor(20ms);
         }
+    }
+
+    /// An upstream that is leaving gets no work after the time that the platform allows.
+    void checkLeavingUpstream()
+    {
+        const unsigned node = this->fleet.backNodes().front();
+        this->fleet.publishEntry(node, "draining");
+        this->fleet.runFor(drainTime);
+        const std::size_t before = this->fleet.upstreams[node]->runs.size();
+        this->sendMany(20);
+        this->promises.check(this->fleet.upstreams[node]->runs.size() == before, "a leaving upstream gets work");
+        this->fleet.publishEntry(node, "ready");
+    }
+
+    /// A configuration is in force at all nodes after the time that the platform allows, and the one before it is not.
+    void checkNewConfig()
+    {
+        this->fleet.publishConfig("/read-next/");
+        this->fleet.runFor(configTime);
+        this->sendMany(20);
+        for (const auto &[id, request] : this->sent) {
+            this->promises.check(!request.idempotent || request.view.status == 404, id + " was served on a route that was removed");
+        }
+        this->fleet.publishConfig("/read/");
+        this->fleet.runFor(configTime);
+        this->sendMany(20);
+        for (const auto &[id, request] : this->sent) {
+            this->promises.check(request.view.status != 404, id + " was denied on a route that was added");
+        }
+    }
+
+    /// A node that is told to stop loses none of the requests that it has read.
+    void checkPlannedStop()
+    {
+        this->sent.clear();
+        for (unsigned i = 0; i < 4 * nodes; ++i) {
+            this->sendOne();
+        }
+        this->fleet.runFor(10ms);
+        const unsigned node = this->pick(nodes);
+        this->fleet.processes[node]->signal(SIGTERM);
+        this->awaitEnds();
+        for (const auto &[id, request] : this->sent) {
+            this->promises.check(request.view.end == StandIns::ExchangeEnd::Complete, id + " was lost at a planned stop");
+        }
+    }
+
+    void checkRecovery()
+    {
+        for (unsigned node = 0; node < nodes; ++node) {
+            this->promises.check(this->fleet.awaitReady(node), "node " + std::to_string(node) + " does not recover");
+        }
+        this->sendMany(30);
         unsigned served = 0;
         for (const auto &[id, request] : this->sent) {
             served += request.view.status == 200 ? 1 : 0;
@@ -238,9 +349,9 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Real processes that are killed, stopped, paused and restarted, a store that goes away and upstreams that fail, in random
-    /// order. Guards against work that runs twice, refusals that are not true, responses of another request, and a fleet that
-    /// does not recover.
+    /// Real processes that are killed, stopped, paused and restarted, paths that are slow, silent, cut one way or reset, a store
+    /// that goes away, and upstreams that fail or leave, in random order. Guards against work that runs twice, refusals that are not true,
+    /// responses of another request, and a fleet that does not recover.
     void keepsPromisesUnderFaults()
     {
         for (const unsigned seed : seeds()) {
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -79,6 +79,7 @@
 
 asio::awaitable<HttpResponse> RegistryStandIn::answer(const HttpRequest &request)
 {
+    ++this->calls;
     const Target target(std::string_view(request.target().data(), request.target().size()));
     if (target.path == "/-/kv-watch") {
         co_return co_await this->watch(request, target);
@@ -179,6 +180,7 @@
     for (unsigned node = 0; node < nodes; ++node) {
         this->upstreams.push_back(std::make_unique<PlatformUpstream>(this->context, "i-" + std::to_string(node), this->vmOf(node)));
         this->publishEntry(node, "ready");
+        this->addRelays(node);
     }
     this->publishConfig("/read/");
 }
@@ -188,6 +190,37 @@
     return "127.0.1." + std::to_string(node + 1);
 }
 
+std::string PlatformFleet::hiddenAddress(unsigned node, unsigned offset) const
+{
+    return "127.0.2." + std::to_string(node + 1) + ":" + std::to_string(this->basePort + offset);
+}
+
+void PlatformFleet::addRelays(unsigned node)
+{
+    const auto listen = [this, node](unsigned offset) {
+        return Tcp::endpoint(asio::ip::make_address(this->vmOf(node)), static_cast<std::uint16_t>(this->basePort + offset));
+    };
+    const Tcp::endpoint freePort(asio::ip::address_v4::loopback(), 0);
+    const auto add = [this](const Tcp::endpoint &address, const std::string &target) {
+        this->relays.back().push_back(std::make_unique<Relay>(this->context, address, parseEndpoint(target), false));
+    };
+    this->relays.emplace_back();
+    add(listen(1), this->hiddenAddress(node, 1));
+    add(freePort, this->registry.address());
+    add(freePort, this->upstreams[node]->address());
+    add(listen(0), this->hiddenAddress(node, 0));
+}
+
+void PlatformFleet::setPathFault(unsigned node, Path path, const PathFault &fault, bool existingOnly)
+{
+    this->relays[node][static_cast<std::size_t>(path)]->setFault(fault, existingOnly);
+}
+
+void PlatformFleet::resetPath(unsigned node, Path path)
+{
+    this->relays[node][static_cast<std::size_t>(path)]->closeConnections();
+}
+
 void PlatformFleet::publishEntry(unsigned node, const std::string &state)
 {
     const Json entry = {{"service", node % 2 == 0 ? "front" : "back"},
@@ -220,15 +253,19 @@
     const auto address = [&vm, this](unsigned offset) {
         return vm + ":" + std::to_string(this->basePort + offset);
     };
+    const auto relayed = [this, node](Path path) {
+        return endpointText(this->relays[node][static_cast<std::size_t>(path)]->address());
+    };
     const std::vector<std::string> arguments
         = {"--fleet=test",
            "--vm=vm-" + std::to_string(node),
            std::string("--failure_domain=") + (node < this->nodeCount / 2 ? "a" : "b"),
-           "--caller_address=" + address(0),
+           "--caller_address=" + this->hiddenAddress(node, 0),
            "--peer_address=" + address(1),
+           "--peer_listen_address=" + this->hiddenAddress(node, 1),
            "--operators_address=" + address(2),
-           "--home_upstreams=" + std::string(node % 2 == 0 ? "front" : "back") + "=" + this->upstreams[node]->address(),
-           "--registry=" + this->registry.address(),
+           "--home_upstreams=" + std::string(node % 2 == 0 ? "front" : "back") + "=" + relayed(Path::Upstream),
+           "--registry=" + relayed(Path::Registry),
            "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
     this->processes[node] = std::make_unique<ChildProcess>(
         builtProgram("galenarackd"), arguments, this->folder.path() / ("node-" + std::to_string(node) + ".log"));
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -5,6 +5,7 @@
 
 #include <standins/common/httpclient.h>
 #include <standins/common/httpserver.h>
+#include <standins/common/relay.h>
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
@@ -33,6 +34,12 @@
 
     std::string address() const;
 
+    /// @return calls that were answered or are waiting
+    unsigned callCount() const
+    {
+        return this->calls;
+    }
+
 private:
     struct Item
     {
@@ -50,6 +57,7 @@
     std::map<std::string, Item> items;
     std::uint64_t revision = 1;
     bool reachable = true;
+    unsigned calls = 0;
 };
 
 /// How an upstream stand-in answers.
@@ -97,6 +105,15 @@
 class PlatformFleet
 {
 public:
+    /// A path that leads through a relay which fails on command.
+    enum class Path : std::uint8_t {
+        Peers, ///< From the other nodes to this one.
+        Registry, ///< From this node to the store.
+        Upstream, ///< From this node to its upstream.
+        Callers, ///< From callers to this node.
+    };
+    static constexpr unsigned pathCount = 4;
+
     explicit PlatformFleet(unsigned nodes);
 
     /// Starts the node, or starts it again.
@@ -110,6 +127,12 @@
     boost::asio::awaitable<CallerView> send(
         unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
 
+    /// Applies a fault to a path of a node. It holds for new connections as well, unless `existingOnly`.
+    void setPathFault(unsigned node, Path path, const StandIns::PathFault &fault, bool existingOnly);
+
+    /// Resets the open connections of a path.
+    void resetPath(unsigned node, Path path);
+
     /// Writes the configuration again with a new version and another prefix for `/read/`.
     void publishConfig(const std::string &readPrefix);
 
@@ -132,12 +155,15 @@
 
 private:
     std::string vmOf(unsigned node) const;
+    std::string hiddenAddress(unsigned node, unsigned offset) const;
+    void addRelays(unsigned node);
 
     TemporaryFolder folder;
     unsigned nodeCount;
     std::uint64_t version = 1;
     std::uint64_t sequence = 1;
     std::uint16_t basePort;
+    std::vector<std::vector<std::unique_ptr<StandIns::Relay>>> relays; ///< By node and path.
 };
 
 } // namespace Galenarack
