Pause longer between watches while changes come in a row

Change: the pause of 0.3 s grows to 0.9 s while a watch finds changes waiting, within the bound of 2 s for following a change. Ruled out: following the store through other nodes, which costs fewer calls, but a relay that is cut from the store would hold changes back from nodes that are not. Test: platformtest.followsDenseChanges.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -88,7 +88,9 @@
     this->take(*read);
     this->revision = std::max(this->revision, read->revision);
     if (!read->changes.empty()) {
-        co_await this->pause(this->settings.batchPause);
+        const bool waited = NodeClock::now() - now > this->settings.batchPause;
+        this->denseReads = waited ? 0 : this->denseReads + 1;
+        co_await this->pause(std::min(this->settings.batchPause * (1 + this->denseReads), this->settings.batchPauseMax));
     }
     co_return true;
 }
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -21,6 +21,9 @@
     /// Pause after a change before the next watch, so that changes which come together cost one call. The fleet must
     /// follow a change within 2 s.
     Duration batchPause = std::chrono::milliseconds(300);
+    /// The pause grows by `batchPause` up to this one with each watch that finds changes waiting, so that dense changes cost
+    /// about one call a second.
+    Duration batchPauseMax = std::chrono::milliseconds(900);
     Duration retryMin = std::chrono::milliseconds(250); ///< First pause after a failed call; doubles with each one in a row.
     Duration retryMax = std::chrono::seconds(1);
     /// After contact is regained, removals are held this long: entries that lapsed while the registry was unavailable
@@ -74,6 +77,7 @@
     bool synchronized = false;
     bool contact = false;
     unsigned failuresInRow = 0;
+    unsigned denseReads = 0; ///< Watches in a row that found changes waiting.
     TimePoint holdRemovalsUntil;
     std::map<std::string, std::uint64_t, std::less<>> heldRemovals; ///< Revision of the removal by upstream.
     Log log{"registry"};
