Give work to upstreams that have just been started

Change: a refused connection pauses the upstream for 0.1 to 0.4 s and is no evidence, since the request has not run; a new run of the upstream (id or time of start) is judged anew, and starts as probably sound.

Tests: connectpausetest; platformtest.usesUpstreamThatIsBack failed before. The test failed at first beside load with the change, too: a home without evidence reported 0.2, so non-idempotent work avoided it; hence the start as probably sound.

--- a/galenarack/policy/trustfilter.cpp
+++ b/galenarack/policy/trustfilter.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Probability that an upstream is gray which has just started.
+constexpr double grayAtStart = 0.05;
+
 /// Bounds that keep later evidence able to change the verdict within a few requests.
 constexpr double soundLeast = 0.03;
 constexpr double grayForAllLeast = 0.004;
@@ -14,10 +17,11 @@
 
 } // namespace
 
-TrustFilter::TrustFilter(TrustModel model)
+TrustFilter::TrustFilter(TimePoint start, TrustModel model)
     : model(model)
-    , sound(1.0 - this->stationary())
-    , grayForAll(this->stationary())
+    , sound(1.0 - grayAtStart)
+    , grayForAll(grayAtStart)
+    , updated(start)
 {
 }
 
--- a/galenarack/policy/trustfilter.h
+++ b/galenarack/policy/trustfilter.h
@@ -36,7 +36,8 @@
 class TrustFilter
 {
 public:
-    explicit TrustFilter(TrustModel model = {});
+    /// @param start of the upstream's run: it is taken as sound until shown otherwise, and less surely so as time goes by
+    explicit TrustFilter(TimePoint start, TrustModel model = {});
 
     /// Takes one outcome.
     /// @param failureDomain of the ingress
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -94,6 +94,7 @@
     , view(view)
     , pool(this->executor, upstream, poolLimits(dialect))
     , queue(initialSlots)
+    , trust(NodeClock::now())
     , repeats(retry)
 {
 }
@@ -135,6 +136,11 @@
         return OfferEnd::Leaving;
     }
     this->queue.setSlots(own->slots);
+    this->forgetEarlierRun(*own, now);
+    retryAfter = this->connectPause.remaining(now);
+    if (retryAfter > Duration::zero()) {
+        return OfferEnd::Ejected;
+    }
     if (offer.isRepeat && !this->mayRepeat(offer, own->service, now)) {
         return OfferEnd::RepeatLimit;
     }
@@ -149,6 +155,17 @@
     return OfferEnd::Answered;
 }
 
+void HomeService::forgetEarlierRun(const UpstreamEntry &own, TimePoint now)
+{
+    if (own.id != this->judgedUpstream || own.bornMs != this->judgedBornMs) {
+        this->judgedUpstream = own.id;
+        this->judgedBornMs = own.bornMs;
+        this->trust = TrustFilter(now);
+        this->connectPause.onSuccess();
+        this->slowness = 1;
+    }
+}
+
 bool HomeService::isLeaving(const Offer &offer, TimePoint now) const
 {
     const UpstreamEntry *own = this->entry();
@@ -365,6 +382,7 @@
     const bool nestedFailed = this->lastFailureStarted >= started;
     if (end == OfferEnd::Answered || end == OfferEnd::Rejected) {
         this->shed.observe(end == OfferEnd::Rejected, now);
+        this->connectPause.onSuccess();
     }
     switch (end) {
     case OfferEnd::Answered:
@@ -379,8 +397,10 @@
             this->observe(offer.failureDomain, TrustEvidence::Failure, offer.requestId, now);
         }
         break;
-    case OfferEnd::Broken:
     case OfferEnd::Unconnected:
+        this->connectPause.onFailure(now);
+        break;
+    case OfferEnd::Broken:
         this->observe(offer.failureDomain, TrustEvidence::Failure, offer.requestId, now);
         break;
     default:
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -6,6 +6,7 @@
 #include <galenarack/operators/metrics.h>
 #include <galenarack/peer/peersession.h>
 #include <galenarack/policy/admissionqueue.h>
+#include <galenarack/policy/connectpause.h>
 #include <galenarack/policy/movingshare.h>
 #include <galenarack/policy/retryallowance.h>
 #include <galenarack/policy/trustfilter.h>
@@ -97,6 +98,7 @@
     PeerResponse ended(const Offer &offer, OfferEnd end, Duration retryAfter);
     UpstreamLoad load(std::string_view failureDomain, TimePoint now) const;
     void advance(TimePoint now);
+    void forgetEarlierRun(const UpstreamEntry &own, TimePoint now);
     void observe(std::string_view failureDomain, TrustEvidence evidence, std::string_view requestId, TimePoint now);
     const UpstreamEntry *entry() const;
 
@@ -106,7 +108,10 @@
     const FleetView &view;
     UpstreamPool pool;
     AdmissionQueue queue;
-    TrustFilter trust;
+    TrustFilter trust; ///< In the run of the upstream that is named by the next two.
+    std::string judgedUpstream; ///< Id.
+    std::int64_t judgedBornMs = 0; ///< Start of the run, Unix time.
+    ConnectPause connectPause;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
     std::map<std::uint64_t, Run> runs;
     std::uint64_t nextTicket = 1;
--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -32,6 +32,24 @@
     return *view;
 }
 
+/// Sends requests at the same time and runs the loop until all have ended.
+void requestTogether(PlatformFleet &fleet, unsigned node, const std::string &method, const std::string &target, unsigned count)
+{
+    unsigned open = count;
+    for (unsigned i = 0; i < count; ++i) {
+        asio::co_spawn(
+            fleet.context,
+            [&fleet, &open, node, method, target, id = "t" + std::to_string(i)]() -> asio::awaitable<void> {
+                co_await fleet.send(node, method, target, id, 3s);
+                --open;
+            },
+            asio::detached);
+    }
+    while (open > 0) {
+        fleet.runFor(10ms);
+    }
+}
+
 struct FaultCase
 {
     const char *name;
@@ -61,10 +79,65 @@
     CPPUNIT_TEST(repeatsOnlyWhatMayRepeat);
     CPPUNIT_TEST(followsTheStore);
     CPPUNIT_TEST(followsDenseChanges);
+    CPPUNIT_TEST(usesUpstreamThatIsBack);
     CPPUNIT_TEST(leavesWithoutLoss);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// An upstream that refuses connections while it is started, and one that fails its work and is started again. Guards
+    /// against work that is lost to a refused connection, and against an upstream that gets no work for seconds after it is up
+    /// because its home judges it by what came before.
+    void usesUpstreamThatIsBack()
+    {
+        const struct
+        {
+            const char *name;
+            void (*fail)(PlatformFleet &, unsigned node);
+            void (*repair)(PlatformFleet &, unsigned node);
+            const char *method; ///< Of the requests that come while it fails.
+            const char *target;
+        } cases[] = {
+            {"refuses connections",
+             [](PlatformFleet &fleet, unsigned node) {
+                 fleet.setPathAccepting(node, PlatformFleet::Path::Upstream, false);
+             },
+             [](PlatformFleet &fleet, unsigned node) {
+                 fleet.setPathAccepting(node, PlatformFleet::Path::Upstream, true);
+             },
+             "POST",
+             "/write/x"},
+            {"fails, and is started again",
+             [](PlatformFleet &fleet, unsigned node) {
+                 fleet.upstreams[node]->behaviour.status = 500;
+             },
+             [](PlatformFleet &fleet, unsigned node) {
+                 fleet.upstreams[node]->behaviour.status = 200;
+                 fleet.upstreams[node]->bornMs = 2;
+             },
+             "GET",
+             "/read/x"},
+        };
+        for (const auto &row : cases) {
+            PlatformFleet fleet(nodes);
+            startAll(fleet);
+            const unsigned node = fleet.backNodes().front();
+            const PlatformUpstream &upstream = *fleet.upstreams[node];
+            row.fail(fleet, node);
+            for (int i = 0; i < 20; ++i) {
+                const CallerView view = request(fleet, node, row.method, row.target, "f" + std::to_string(i));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 200U, view.status);
+            }
+            row.repair(fleet, node);
+            fleet.publishEntry(node, "ready");
+            fleet.runFor(1200ms);
+            // More work at once than the other upstream has slots.
+            const std::size_t before = upstream.runs.size();
+            fleet.upstreams[fleet.backNodes().back()]->behaviour.work = 300ms;
+            requestTogether(fleet, node, "POST", "/write/x", 10);
+            CPPUNIT_ASSERT_MESSAGE(row.name, upstream.runs.size() > before);
+        }
+    }
+
     /// Replays entries that change each 50 ms. Guards against a call of each node for each change, which the store's rate does
     /// not bear in a large fleet, and against a pause so long that a change is not followed in time.
     void followsDenseChanges()
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -216,6 +216,14 @@
     this->relays[node][static_cast<std::size_t>(path)]->setFault(fault, existingOnly);
 }
 
+void PlatformFleet::setPathAccepting(unsigned node, Path path, bool accepting)
+{
+    this->relays[node][static_cast<std::size_t>(path)]->setAccepting(accepting);
+    if (!accepting) {
+        this->resetPath(node, path);
+    }
+}
+
 void PlatformFleet::resetPath(unsigned node, Path path)
 {
     this->relays[node][static_cast<std::size_t>(path)]->closeConnections();
@@ -230,6 +238,7 @@
                         {"slots", 4},
                         {"state", state},
                         {"cold-remaining-ms", 0},
+                        {"born", this->upstreams[node]->bornMs},
                         {"sequence", this->sequence++}};
     this->registry.put("servers/" + this->upstreams[node]->id, entry.dump());
 }
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -78,6 +78,7 @@
     std::string address() const;
 
     UpstreamBehaviour behaviour;
+    std::int64_t bornMs = 1; ///< Start of its run, as its entry says.
     std::map<std::string, unsigned> runs; ///< By request id.
     std::map<std::string, std::string> callerServices; ///< By request id.
     const std::string id;
@@ -130,6 +131,9 @@
     /// Applies a fault to a path of a node. It holds for new connections as well, unless `existingOnly`.
     void setPathFault(unsigned node, Path path, const StandIns::PathFault &fault, bool existingOnly);
 
+    /// Takes connections on a path, or resets all and refuses new ones.
+    void setPathAccepting(unsigned node, Path path, bool accepting);
+
     /// Resets the open connections of a path.
     void resetPath(unsigned node, Path path);
 
--- /dev/null
+++ b/unittests/connectpausetest.cpp
@@ -0,0 +1,63 @@
+#include <galenarack/policy/connectpause.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start(std::chrono::hours(1));
+
+struct PauseCase
+{
+    const char *name;
+    std::string history; ///< "f" failure, "s" success, "." 100 ms.
+    Duration least;
+    Duration most;
+};
+
+} // namespace
+
+class ConnectPauseTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConnectPauseTest);
+    CPPUNIT_TEST(growsAndEnds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against an upstream that is tried without end while it is down, and against one that has been started and gets
+    /// no work for seconds.
+    void growsAndEnds()
+    {
+        const PauseCase cases[] = {
+            {"no failure", "", 0ms, 0ms},
+            {"one failure", "f", 50ms, 100ms},
+            {"failures together", "fff", 50ms, 100ms},
+            {"its end", "f.", 0ms, 0ms},
+            {"in a row", "f.f..f", 300ms, 400ms},
+            {"down for long", "f..........f..........f..........f..........f..........f", 300ms, 400ms},
+            {"back", "f..........f..........f..........s", 0ms, 0ms},
+            {"down again", "f..........f..........f..........sf", 50ms, 100ms},
+        };
+        for (const PauseCase &row : cases) {
+            ConnectPause pause;
+            TimePoint now = start;
+            for (const char step : row.history) {
+                if (step == 'f') {
+                    pause.onFailure(now);
+                } else if (step == 's') {
+                    pause.onSuccess();
+                } else {
+                    now += 100ms;
+                }
+            }
+            const Duration remaining = pause.remaining(now);
+            CPPUNIT_ASSERT_MESSAGE(row.name, remaining >= row.least && remaining <= row.most);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectPauseTest);
