--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -88,6 +88,7 @@
     this->take(*read);
     this->revision = std::max(this->revision, read->revision);
     if (!read->changes.empty()) {
+        // Changes that were waiting are answered at once; a longer call means that the registry was quiet before.
         const bool waited = NodeClock::now() - now > this->settings.batchPause;
         this->denseReads = waited ? 0 : this->denseReads + 1;
         co_await this->pause(std::min(this->settings.batchPause * (1 + this->denseReads), this->settings.batchPauseMax));
--- a/galenarack/policy/trustfilter.cpp
+++ b/galenarack/policy/trustfilter.cpp
@@ -15,6 +15,12 @@
 constexpr double grayForAllLeast = 0.004;
 constexpr double grayForDomainLeast = 0.001;
 
+/// @return a probability that has moved from a past value towards its value in the long run
+double decayed(double past, double longRun, double weightOfPast)
+{
+    return longRun + (past - longRun) * weightOfPast;
+}
+
 } // namespace
 
 TrustFilter::TrustFilter(TimePoint start, TrustModel model)
@@ -30,26 +36,21 @@
     return this->model.onsetPerSecond / (this->model.onsetPerSecond + this->model.endPerSecond);
 }
 
-double TrustFilter::kept(TimePoint now) const
+double TrustFilter::memoryWeight(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(std::max(now - this->updated, Duration::zero())).count();
     return std::exp(-(this->model.onsetPerSecond + this->model.endPerSecond) * age);
 }
 
-double TrustFilter::towards(double probability, double rest, double weight) const
-{
-    return rest + (probability - rest) * weight;
-}
-
 double TrustFilter::grayProbability(std::string_view failureDomain, TimePoint now) const
 {
-    const double weight = this->kept(now);
+    const double weight = this->memoryWeight(now);
     const double forAll = this->domains.empty() ? this->stationary() : this->stationary() * (1.0 - this->model.oneDomainShare);
-    double probability = this->towards(this->grayForAll, forAll, weight);
+    double probability = decayed(this->grayForAll, forAll, weight);
     for (const DomainState &domain : this->domains) {
         if (domain.failureDomain == failureDomain) {
             const double rest = this->stationary() * this->model.oneDomainShare / static_cast<double>(this->domains.size());
-            probability += this->towards(domain.probability, rest, weight);
+            probability += decayed(domain.probability, rest, weight);
         }
     }
     return probability;
@@ -57,12 +58,12 @@
 
 void TrustFilter::advance(TimePoint now)
 {
-    const double weight = this->kept(now);
-    this->grayForAll = this->towards(this->grayForAll, this->stationary() * (1.0 - this->model.oneDomainShare), weight);
+    const double weight = this->memoryWeight(now);
+    this->grayForAll = decayed(this->grayForAll, this->stationary() * (1.0 - this->model.oneDomainShare), weight);
     const double rest = this->stationary() * this->model.oneDomainShare / static_cast<double>(this->domains.size());
     this->sound = 1.0 - this->grayForAll;
     for (DomainState &domain : this->domains) {
-        domain.probability = this->towards(domain.probability, rest, weight);
+        domain.probability = decayed(domain.probability, rest, weight);
         this->sound -= domain.probability;
     }
     this->updated = now;
@@ -78,7 +79,7 @@
     }
 }
 
-void TrustFilter::scale()
+void TrustFilter::normalize()
 {
     double sum = this->sound + this->grayForAll;
     for (const DomainState &domain : this->domains) {
@@ -109,13 +110,13 @@
     for (DomainState &domain : this->domains) {
         domain.probability *= domain.failureDomain == failureDomain ? likelihoodGray : likelihoodSound;
     }
-    this->scale();
+    this->normalize();
     this->sound = std::max(this->sound, soundLeast);
     this->grayForAll = std::max(this->grayForAll, grayForAllLeast);
     for (DomainState &domain : this->domains) {
         domain.probability = std::max(domain.probability, grayForDomainLeast);
     }
-    this->scale();
+    this->normalize();
 }
 
 } // namespace Galenarack
--- a/galenarack/policy/trustfilter.h
+++ b/galenarack/policy/trustfilter.h
@@ -54,12 +54,19 @@
         double probability = 0;
     };
 
+    /// @return share of upstreams that are gray at any time
     double stationary() const;
-    double kept(TimePoint now) const;
-    double towards(double probability, double rest, double weight) const;
+
+    /// @return how much of the last verdict still holds, 0 to 1
+    double memoryWeight(TimePoint now) const;
+
+    /// Moves all probabilities to the time given.
     void advance(TimePoint now);
+
     void addDomain(std::string_view failureDomain);
-    void scale();
+
+    /// Makes the probabilities add up to 1.
+    void normalize();
 
     TrustModel model;
     double sound;
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -35,7 +35,7 @@
     /// @return SettingInvalid when the address cannot be bound
     absl::Status listen(const boost::asio::ip::tcp::endpoint &address);
 
-    /// Closes connections that are idle, or slow to send a request, for longer than the limits allow. Call it every 50 ms.
+    /// Closes connections that are idle, or slow to send a request, for longer than the limits allow. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// From now on each response ends its connection.
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -41,7 +41,7 @@
     /// Answers an offer. The response carries an OfferReport.
     boost::asio::awaitable<PeerResponse> handle(std::shared_ptr<PeerCall> call);
 
-    /// Drops requests that can no longer end in time and takes what overdue requests show. Call it every 50 ms.
+    /// Drops requests that can no longer end in time and takes what overdue requests show. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// The node is leaving: from now on takes only work that will have ended by a time.
--- a/galenarack/proxy/peerlinks.h
+++ b/galenarack/proxy/peerlinks.h
@@ -38,7 +38,7 @@
                                                                   std::shared_ptr<Cancellation> cancellation,
                                                                   PeerProgress &progress);
 
-    /// Checks all connections for silence. Call it every 50 ms.
+    /// Checks all connections for silence. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// Accepts no more connections.
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -55,6 +55,8 @@
         {&RawSettings::callerAddress, "127.0.0.11:", "caller_address", address},
         {&RawSettings::callerAddress, "127.0.0.11:8081", "caller_address", other},
         {&RawSettings::peerAddress, "", "peer_address", address},
+        {&RawSettings::peerListenAddress, "10.0.0.1", "peer_listen_address", address},
+        {&RawSettings::peerListenAddress, "10.0.0.2:8081", "peer_listen_address", "no value without --registry"},
         {&RawSettings::peerAddress, "0.0.0.0:8081", "peer_address", "the address by which other nodes reach this one"},
         {&RawSettings::operatorsAddress, "", "operators_address", address},
         {&RawSettings::operatorsAddress, "127.0.0.11:8080", "operators_address", other},
