--- a/galenarackctl/requesttrace.cpp
+++ b/galenarackctl/requesttrace.cpp
@@ -78,7 +78,7 @@
 {
 }
 
-void RequestTrace::read(std::string log, std::istream &input)
+void RequestTrace::read(const std::string &log, std::istream &input)
 {
     std::string text;
     while (std::getline(input, text)) {
--- a/galenarackctl/requesttrace.h
+++ b/galenarackctl/requesttrace.h
@@ -32,7 +32,7 @@
 
     /// Takes the lines of one log that name the request. Text before the JSON object of a line is ignored, and so are lines
     /// without one.
-    void read(std::string log, std::istream &lines);
+    void read(const std::string &log, std::istream &input);
 
     /// @return the lines by cause; valid until the next read()
     const std::vector<TraceLine> &ordered();
