Order waiting work by the slot time that its route uses at the home

The queue took the latency target for the slot time. The calls have a target of 1.5 s and work of 0.31 s, the settlements 2.5 s and 0.86 s, so the long work went first. Ruled out: upstreams that fail by themselves (the calls had no arrival), the bound on repeats (the last outcome was expired, not repeat-limit).

Change: the home orders by the mean duration of a route at its own upstream, for which an offer names its route. The estimated wait counts the share of the slots that preferred work has used recently, since such work goes first when it arrives during the wait; otherwise long work is accepted and answered late.

Test: AdmissionQueueTest::servesShortWorkBeforeLongUnderOverload replays the two routes.

--- a/galenarack/policy/admissionqueue.cpp
+++ b/galenarack/policy/admissionqueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace Galenarack {
 
@@ -19,14 +20,28 @@
 /// Wait that is accepted for every route: estimates are not exact enough to refuse a request for a shorter one.
 constexpr Duration baseQueueWait = std::chrono::milliseconds(200);
 
-/// Lower bound of the latency target in the ranking: routes with shorter targets rank no higher.
-constexpr double minTargetSeconds = 0.05;
+/// Lower bound of the slot time in the ranking: routes with shorter work rank no higher.
+constexpr double minSlotSeconds = 0.02;
+
+/// Lower bound of the share of the slots that requests of a higher value leave to others, in the estimated wait.
+constexpr double minSlotShare = 0.05;
+
+/// Time constant with which used slot time loses its weight.
+constexpr double usageDecaySeconds = 3.0;
+
+/// Usage below this is forgotten.
+constexpr double minUsageSeconds = 0.001;
 
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
+double decayedUsage(double slotSeconds, TimePoint updated, TimePoint now)
+{
+    return slotSeconds * std::exp(-seconds(now - updated) / usageDecaySeconds);
+}
+
 bool canFinishInTime(const AdmissionRequest &request, TimePoint now)
 {
     const auto minRemaining = std::chrono::duration_cast<Duration>(request.expected * minRemainingShare);
@@ -41,15 +56,6 @@
     return std::max(std::min(remaining, maxUsefulWait), Duration::zero());
 }
 
-double valueDensity(const AdmissionRequest &request)
-{
-    double value = 1.0;
-    for (std::uint32_t step = 0; step < std::min(request.priority, 8U); ++step) {
-        value /= priorityFactor;
-    }
-    return value / std::max(seconds(request.target), minTargetSeconds);
-}
-
 AdmissionQueue::AdmissionQueue(std::uint32_t slots)
     : slots(slots)
 {
@@ -74,11 +80,44 @@
            != 0;
 }
 
-void AdmissionQueue::release(std::uint64_t ticket)
+void AdmissionQueue::release(std::uint64_t ticket, TimePoint now)
 {
-    std::erase_if(this->active, [ticket](const Running &running) {
-        return running.ticket == ticket;
+    const auto ended = std::ranges::find_if(this->active, [ticket](const Running &running) {
+        return running.request.ticket == ticket;
+    });
+    if (ended == this->active.end()) {
+        return;
+    }
+    std::erase_if(this->usage, [now](const auto &row) {
+        return decayedUsage(row.second.slotSeconds, row.second.updated, now) < minUsageSeconds;
     });
+    RouteUsage &usage = this->usage[ended->request.route];
+    usage.slotSeconds = decayedUsage(usage.slotSeconds, usage.updated, now) + seconds(now - ended->started);
+    usage.updated = now;
+    usage.request = ended->request;
+    this->active.erase(ended);
+}
+
+double AdmissionQueue::preferredShare(double density, TimePoint now) const
+{
+    double used = 0;
+    for (const auto &[route, usage] : this->usage) {
+        if (this->valueDensity(usage.request) > density) {
+            used += decayedUsage(usage.slotSeconds, usage.updated, now);
+        }
+    }
+    return used / (usageDecaySeconds * std::max(this->slots, 1U));
+}
+
+void AdmissionQueue::recordDuration(std::string_view route, Duration target, Duration duration)
+{
+    this->durations.observe(route, target, duration);
+}
+
+double AdmissionQueue::valueDensity(const AdmissionRequest &request) const
+{
+    const double value = std::pow(priorityFactor, -static_cast<double>(request.priority));
+    return value / std::max(seconds(this->durations.usual(request.route, request.target)), minSlotSeconds);
 }
 
 AdmissionOutcome AdmissionQueue::advance(TimePoint now)
@@ -92,10 +131,10 @@
         return expired;
     });
     while (this->active.size() < this->slots && !this->queue.empty()) {
-        const auto best = std::ranges::max_element(this->queue, {}, [](const AdmissionRequest &request) {
-            return valueDensity(request);
+        const auto best = std::ranges::max_element(this->queue, {}, [this](const AdmissionRequest &request) {
+            return this->valueDensity(request);
         });
-        this->active.push_back({best->ticket, now, best->expected});
+        this->active.push_back({now, *best});
         outcome.granted.push_back(best->ticket);
         this->queue.erase(best);
     }
@@ -111,18 +150,20 @@
     // the number of slots plus one. From then on slots become free at the rate at which work finishes.
     Duration running{};
     for (const Running &run : this->active) {
-        running += std::max(run.expected, now - run.started);
+        running += std::max(run.request.expected, now - run.started);
     }
-    const double density = valueDensity(request);
+    const double density = this->valueDensity(request);
     Duration ahead{};
     for (const AdmissionRequest &other : this->queue) {
-        if (valueDensity(other) >= density) {
+        if (this->valueDensity(other) >= density) {
             ahead += other.expected;
         }
     }
     const std::uint32_t busy = std::max<std::uint32_t>(static_cast<std::uint32_t>(this->active.size()), 1);
     const Duration first = this->active.size() < this->slots ? Duration::zero() : running / busy / (busy + 1);
-    return first + ahead / std::max(this->slots, 1U);
+    // Requests of a higher value that arrive during the wait go first, so only the slots that they leave shorten it.
+    const double left = 1.0 - this->preferredShare(density, now);
+    return std::chrono::duration_cast<Duration>((first + ahead / std::max(this->slots, 1U)) / std::max(left, minSlotShare));
 }
 
 } // namespace Galenarack
--- a/galenarack/policy/admissionqueue.h
+++ b/galenarack/policy/admissionqueue.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/policy/durationestimate.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <span>
+#include <map>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace Galenarack {
@@ -13,9 +16,10 @@
 struct AdmissionRequest
 {
     std::uint64_t ticket = 0; ///< Identifies the request.
+    std::string route; ///< Name of the route.
     std::uint32_t priority = 0; ///< Priority of the route; 0 is the most urgent.
-    Duration expected{}; ///< Usual duration of the work.
-    Duration target{}; ///< Latency target of the route: short for short work.
+    Duration expected{}; ///< Usual duration of the work, as estimated by the ingress.
+    Duration target{}; ///< Latency target of the route.
     TimePoint deadline; ///< Time after which a response has no value.
 };
 
@@ -29,10 +33,10 @@
 /// Priority queue of the requests that wait for the slots of one upstream.
 ///
 /// Designed for overload, when more work arrives than the slots can finish: the next slot goes to the route with the highest
-/// value per second of slot time, and within a route to the oldest request. The latency target of the route stands in for the
-/// slot time: estimates of the duration differ between nodes, and an order by them would let small differences starve a
-/// request. Work that other requests depend on is short and urgent, so it goes first. A request that can no longer meet its
-/// deadline is removed.
+/// value per second of slot time, and within a route to the oldest request. The slot time of a route is the mean duration of
+/// its work on this upstream. Estimates of the ingresses differ, and an order by them would starve the requests of some nodes.
+/// Latency targets don't stand in for the slot time: work that other requests wait for may have a long target, although it is
+/// short. A request that can no longer meet its deadline is removed.
 class AdmissionQueue
 {
 public:
@@ -51,7 +55,11 @@
 
     /// Releases a slot.
     /// @param ticket ticket of the request that holds the slot
-    void release(std::uint64_t ticket);
+    void release(std::uint64_t ticket, TimePoint now);
+
+    /// Records how long the upstream took for a successful request, to estimate the slot time of the route.
+    /// @param target latency target of the route
+    void recordDuration(std::string_view route, Duration target, Duration duration);
 
     /// Grants free slots and removes requests that can no longer meet their deadline.
     AdmissionOutcome advance(TimePoint now);
@@ -81,14 +89,29 @@
     /// A request that holds a slot.
     struct Running
     {
-        std::uint64_t ticket = 0;
         TimePoint started;
-        Duration expected{}; ///< Usual duration of the work.
+        AdmissionRequest request;
+    };
+
+    /// Slot time that the requests of one route have used recently.
+    struct RouteUsage
+    {
+        AdmissionRequest request; ///< Last request of the route that held a slot.
+        double slotSeconds = 0; ///< Used slot time, decayed with its age.
+        TimePoint updated; ///< Time at which the slot time was computed.
     };
 
+    /// @return share of the slot time of the last seconds that was used by requests of a higher value, 0 to 1
+    double preferredShare(double density, TimePoint now) const;
+
+    /// @return value of a request per second of slot time, by which the queue is ordered
+    double valueDensity(const AdmissionRequest &request) const;
+
     std::uint32_t slots;
+    DurationEstimate durations; ///< Usual duration of each route's work on this upstream.
     std::vector<AdmissionRequest> queue; ///< Waiting requests, the oldest first.
     std::vector<Running> active; ///< Requests that hold a slot, the oldest grant first.
+    std::map<std::string, RouteUsage, std::less<>> usage; ///< Recent use of the slots, by name of the route.
 };
 
 /// @param target latency target of the route
@@ -97,7 +120,4 @@
 ///         response late.
 Duration longestUsefulWait(Duration target, Duration remaining);
 
-/// @return value of a request per second of slot time, by which an AdmissionQueue orders its requests
-double valueDensity(const AdmissionRequest &request);
-
 } // namespace Galenarack
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -210,6 +210,7 @@
     }
     AdmissionRequest request;
     request.ticket = this->nextTicket++;
+    request.route = offer->route;
     request.priority = offer->priority;
     request.expected = std::chrono::duration_cast<Duration>(offer->expected * this->slowness);
     request.target = offer->target;
@@ -219,8 +220,9 @@
         co_return this->makeNotRunResponse(*offer, waited, retryAfter);
     }
     const ScopeGuard released([this, ticket = request.ticket] {
-        this->queue.release(ticket);
-        this->advance(NodeClock::now());
+        const TimePoint now = NodeClock::now();
+        this->queue.release(ticket, now);
+        this->advance(now);
     });
     // A gray failure of the upstream may have been detected while the request waited.
     if (!offer->idempotent && !offer->allowUnhealthy && !this->isHealthyEnough(*offer, NodeClock::now())) {
@@ -393,6 +395,7 @@
     case OfferOutcome::Answered:
         if (status < serverError) {
             this->observe(offer.failureDomain, RequestEvidence::Success, offer.requestId, now);
+            this->queue.recordDuration(offer.route, offer.target, now - started);
             // Allow the next trial at once, so that a recovered upstream is reinstated after a few requests.
             this->lastTrial = now - trialInterval;
             const double ratio = std::chrono::duration<double>(now - started)
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -2,10 +2,12 @@
 
 #include <galenarack/core/errorkind.h>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -15,6 +17,7 @@
 
 constexpr std::string_view offerField = "galenarack-offer";
 constexpr std::string_view originField = "galenarack-origin"; ///< Same value on all offers of a connection, so HPACK can index it.
+constexpr std::string_view routeField = "galenarack-route";
 constexpr std::string_view reportField = "galenarack-report";
 constexpr std::size_t offerParts = 8;
 constexpr std::size_t reportParts = 9;
@@ -103,6 +106,11 @@
                              toMs(this->expected),
                              " ",
                              toMs(this->maxQueueWait)));
+    // Operators choose the names of routes. A name that no header field can hold is left out: the home then has no estimate for
+    // this route alone.
+    if (std::ranges::all_of(this->route, absl::ascii_isprint)) {
+        headers.add(routeField, this->route);
+    }
     headers.add(originField, absl::StrCat(this->callerService, " ", this->failureDomain));
 }
 
@@ -123,6 +131,7 @@
     offer.target = offerReader.duration();
     offer.expected = offerReader.duration();
     offer.maxQueueWait = offerReader.duration();
+    offer.route = headers.find(routeField).value_or("");
     offer.callerService = originReader.text();
     offer.failureDomain = originReader.text();
     if (!offerReader.isValid() || !originReader.isValid()) {
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -19,6 +19,7 @@
 {
     std::string upstream; ///< Id of the upstream that the request is offered to.
     std::string requestId; ///< Request id of the caller.
+    std::string route; ///< Name of the route.
     bool idempotent = false; ///< The request may be run more than once.
     bool allowUnhealthy = false; ///< May run on an upstream considered unhealthy, for want of a better one.
     bool allowTrial = false; ///< May go to an ejected upstream to check whether it has recovered; is repeated if it fails.
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -393,6 +393,7 @@
     Offer offer;
     offer.upstream = target.upstream->entry.id;
     offer.requestId = context.id;
+    offer.route = context.route->name;
     offer.idempotent = context.route->idempotent;
     offer.allowUnhealthy = target.allowUnhealthy;
     offer.allowTrial = target.allowTrial;
--- a/unittests/admissionqueuetest.cpp
+++ b/unittests/admissionqueuetest.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <span>
+#include <string>
+#include <vector>
 
 using namespace Galenarack;
 using namespace std::chrono_literals;
@@ -53,6 +56,23 @@
     double spread = 0; ///< Standard deviation of the logarithm of the work's duration.
 };
 
+/// One of several routes that load the same upstream.
+struct RouteLoad
+{
+    const char *name;
+    std::uint32_t priority;
+    Duration target; ///< Latency target.
+    Duration work; ///< Duration of the work, the same for all requests.
+    double load; ///< Arriving work as a multiple of the capacity of the slots.
+    double maxRefusedShare; ///< Upper bound of the share of the requests that are refused.
+};
+
+struct RouteResult
+{
+    double refused = 0; ///< Share of the requests that were refused on arrival.
+    double late = 0; ///< Share of the requests that were answered after the latency target, or never.
+};
+
 struct SimulationResult
 {
     unsigned arrivals = 0; ///< Number of requests that arrived.
@@ -87,7 +107,7 @@
         while (!ends.empty() && ends.begin()->first <= now) {
             const auto [end, ended] = *ends.begin();
             ends.erase(ends.begin());
-            queue.release(ended);
+            queue.release(ended, end);
             (end - arrivals[ended] <= scenario.target ? result.onTime : result.late) += 1;
             advance(end);
         }
@@ -105,6 +125,63 @@
     return result;
 }
 
+/// Offers the requests of all routes, which arrive at random, to one upstream for 60 s.
+/// @return shares of the requests that were refused and answered late, by route
+std::vector<RouteResult> simulateRoutes(std::span<const RouteLoad> routes, std::uint32_t slots, unsigned seed)
+{
+    struct Arrival
+    {
+        TimePoint at;
+        std::size_t route;
+    };
+    std::mt19937_64 random(seed);
+    std::vector<Arrival> arrivals;
+    std::vector<unsigned> counts(routes.size());
+    for (std::size_t route = 0; route < routes.size(); ++route) {
+        std::exponential_distribution<double> gap(routes[route].load * slots / std::chrono::duration<double>(routes[route].work).count());
+        TimePoint at = start;
+        while (at < start + 60s) {
+            at += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+            arrivals.push_back({at, route});
+            ++counts[route];
+        }
+    }
+    std::ranges::sort(arrivals, {}, &Arrival::at);
+    AdmissionQueue queue(slots);
+    std::multimap<TimePoint, std::uint64_t> ends;
+    std::vector<RouteResult> results(routes.size());
+    const auto advance = [&](TimePoint now) {
+        for (const std::uint64_t ticket : queue.advance(now).granted) {
+            ends.emplace(now + routes[arrivals[ticket].route].work, ticket);
+        }
+    };
+    for (std::uint64_t ticket = 0; ticket < arrivals.size(); ++ticket) {
+        const TimePoint now = arrivals[ticket].at;
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto [end, ended] = *ends.begin();
+            ends.erase(ends.begin());
+            queue.release(ended, end);
+            const RouteLoad &route = routes[arrivals[ended].route];
+            if (end - arrivals[ended].at <= route.target) {
+                results[arrivals[ended].route].late -= 1.0 / counts[arrivals[ended].route];
+            }
+            queue.recordDuration(route.name, route.target, route.work);
+            advance(end);
+        }
+        const RouteLoad &route = routes[arrivals[ticket].route];
+        AdmissionRequest request = requestOf(ticket, route.priority, route.target, route.work, now + 10s);
+        request.route = route.name;
+        if (queue.estimateWait(request, now) > longestUsefulWait(route.target, 10s - route.work)) {
+            results[arrivals[ticket].route].refused += 1.0 / counts[arrivals[ticket].route];
+            continue;
+        }
+        results[arrivals[ticket].route].late += 1.0 / counts[arrivals[ticket].route];
+        queue.push(request);
+        advance(now);
+    }
+    return results;
+}
+
 } // namespace
 
 class AdmissionQueueTest : public CppUnit::TestFixture
@@ -115,6 +192,7 @@
     CPPUNIT_TEST(dropsRequestsThatCannotFinish);
     CPPUNIT_TEST(servesAcceptedRequestsUnderOverload);
     CPPUNIT_TEST(servesOnTimeUnderOverload);
+    CPPUNIT_TEST(servesShortWorkBeforeLongUnderOverload);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,6 +290,34 @@
                                    sum.late <= 0.05 * (sum.onTime + sum.late));
         }
     }
+
+    /// Guards against short work that other requests wait for, and that fits into the slots by itself, being refused because long
+    /// work holds them, and against long work that is accepted although the short work that arrives meanwhile makes it late. Half
+    /// of the upstreams of a service are gone, and the two routes together need 1.2 times the slots that are left.
+    void servesShortWorkBeforeLongUnderOverload()
+    {
+        constexpr double maxLateShare = 0.05;
+        const struct
+        {
+            const char *name;
+            std::vector<RouteLoad> routes;
+        } cases[] = {
+            {"long work is more urgent", {{"settle", 0, 2500ms, 860ms, 0.6, 0.45}, {"tariff", 1, 1500ms, 310ms, 0.6, 0.02}}},
+            {"same urgency and target", {{"book", 1, 5s, 1650ms, 0.7, 0.45}, {"meter", 1, 5s, 310ms, 0.5, 0.02}}},
+        };
+        for (const auto &row : cases) {
+            for (unsigned seed = 1; seed <= 5; ++seed) {
+                const std::vector<RouteResult> results = simulateRoutes(row.routes, 15, seed);
+                for (std::size_t route = 0; route < results.size(); ++route) {
+                    const RouteResult &result = results[route];
+                    const std::string message = std::string(row.name) + ", " + row.routes[route].name + ": refused "
+                                                + std::to_string(result.refused) + ", late " + std::to_string(result.late);
+                    CPPUNIT_ASSERT_MESSAGE(message, result.refused <= row.routes[route].maxRefusedShare);
+                    CPPUNIT_ASSERT_MESSAGE(message, result.late <= maxLateShare);
+                }
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionQueueTest);
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -12,6 +12,7 @@
     Offer offer;
     offer.upstream = "i-1";
     offer.requestId = "9c41d07be2a35f68";
+    offer.route = "reports by month";
     offer.idempotent = true;
     offer.allowTrial = true;
     offer.isRepeat = true;
@@ -46,6 +47,7 @@
         CPPUNIT_ASSERT(offer.ok());
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), offer->upstream);
         CPPUNIT_ASSERT_EQUAL(std::string("9c41d07be2a35f68"), offer->requestId);
+        CPPUNIT_ASSERT_EQUAL(std::string("reports by month"), offer->route);
         CPPUNIT_ASSERT(offer->idempotent && offer->allowTrial && offer->isRepeat && offer->allowUnhealthy);
         CPPUNIT_ASSERT_EQUAL(2U, offer->priority);
         CPPUNIT_ASSERT(offer->remaining == Duration(2900ms) && offer->target == Duration(800ms));
