Bound the responses in transit of an upstream and reject endless interim responses

Cause: an upstream in trouble may send bytes without end. A body was read up to 64 MB for each request, so a few endless bodies exceed the memory of a small VM. After eight skipped messages the ninth was taken for the response even if it was an interim one: an endless series of 103 responses reached the caller as status 103.

Change: ByteBudget counts what all responses of an upstream hold and drops the largest one when the limit is exceeded, so that an endless body does not displace complete responses. Bodies are read in parts, and the read buffer no longer has the size of the largest body. A message that is skipped last is no response.

Tests: UpstreamPoolTest::endlessResponseIsDropped (head, status line, fields, chunks, extensions, trailer, interim responses; the last failed before: the response was accepted) and ::endlessBodiesAreDroppedBeforeOthers.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -33,6 +33,9 @@
 /// Upstreams send one or two.
 constexpr unsigned skippedResponseLimit = 8;
 
+/// Size of the part of a body that is read at once.
+constexpr std::size_t readBytes = 64 * 1024;
+
 bool isHopByHop(std::string_view name)
 {
     return std::ranges::find(hopByHopFields, name) != hopByHopFields.end();
@@ -133,6 +136,7 @@
     : executor(std::move(executor))
     , address(std::move(address))
     , limits(std::move(limits))
+    , budget(this->limits.totalBytes)
 {
 }
 
@@ -169,10 +173,15 @@
         pendingWrite->done = true;
         pendingWrite->error = error;
     });
-    beast::flat_buffer buffer(this->limits.headerBytes + this->limits.bodyBytes);
+    beast::flat_buffer buffer(this->limits.headerBytes + readBytes);
     std::optional<Reader> reader;
-    if (const auto error = co_await this->readResponse(*connection, buffer, reader, request, requestId)) {
-        co_return readError(error, deadline);
+    ByteReservation reservation(this->budget, [&stream] {
+        stream.close();
+    });
+    if (const auto error = co_await this->readResponse(*connection, reservation, buffer, reader, request, requestId)) {
+        co_return reservation.isDropped()
+            ? makeError(ErrorKind::UpstreamAnswerTooLarge, "the responses in transit exceed their size limit, and this is the largest")
+            : readError(error, deadline);
     }
     if (absl::Status status = this->checkResponse(*reader, buffer.size(), requestId); !status.ok()) {
         co_return status;
@@ -187,6 +196,7 @@
 }
 
 asio::awaitable<beast::error_code> UpstreamPool::readResponse(Connection &connection,
+                                                              ByteReservation &reservation,
                                                               beast::flat_buffer &buffer,
                                                               std::optional<Reader> &reader,
                                                               const PeerRequest &request,
@@ -197,16 +207,23 @@
         reader->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
         reader->body_limit(this->limits.bodyBytes);
         reader->skip(request.method == "HEAD");
-        const auto [error, length] = co_await http::async_read(connection.stream, buffer, *reader, awaitTuple);
-        if (error) {
-            co_return error;
+        while (!reader->is_done()) {
+            const auto [error, length] = co_await http::async_read_some(connection.stream, buffer, *reader, awaitTuple);
+            reservation.resize(reader->get().body().capacity() + buffer.capacity());
+            if (error) {
+                co_return error;
+            }
+            if (reservation.isDropped()) {
+                co_return http::error::body_limit;
+            }
         }
         const bool isStale = this->limits.alwaysEchoesId && !reader->need_eof() && !this->matchesRequest(*reader, requestId);
         if (!isInterim(reader->get().result_int()) && !isStale) {
-            break;
+            co_return beast::error_code();
         }
     }
-    co_return beast::error_code();
+    // The last message read belongs to another request or is an interim response, so it is no response to this request.
+    co_return http::error::bad_status;
 }
 
 bool UpstreamPool::matchesRequest(const Reader &reader, std::string_view requestId) const
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <galenarack/core/bytebudget.h>
 #include <galenarack/core/clock.h>
 #include <galenarack/peer/peermessage.h>
 
@@ -26,6 +27,8 @@
 {
     std::size_t headerBytes = 16 * 1024; ///< Maximum size of a response's header section, in bytes.
     std::size_t bodyBytes = 1024 * 1024; ///< Maximum size of a response's body, in bytes.
+    /// Maximum size of all responses in transit, in bytes; above it, the largest one ends with UpstreamAnswerTooLarge.
+    std::size_t totalBytes = 64 * 1024 * 1024;
     std::size_t idleConnections = 8; ///< Maximum number of idle connections that are kept for reuse.
     Duration connectTimeout = std::chrono::milliseconds(250); ///< Time-out of opening a connection.
     Duration idleTimeout = std::chrono::seconds(15); ///< Longest idle time after which a connection is still reused.
@@ -73,7 +76,9 @@
     using Reader = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<absl::StatusOr<std::unique_ptr<Connection>>> acquireConnection(TimePoint deadline);
+    /// Reads messages until the response to the request is complete. The reservation follows the bytes that are held.
     boost::asio::awaitable<boost::beast::error_code> readResponse(Connection &connection,
+                                                                  ByteReservation &reservation,
                                                                   boost::beast::flat_buffer &buffer,
                                                                   std::optional<Reader> &reader,
                                                                   const PeerRequest &request,
@@ -86,6 +91,7 @@
     boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::endpoint address;
     UpstreamLimits limits;
+    ByteBudget budget; ///< Counts the bytes of the responses in transit.
     std::vector<std::unique_ptr<Connection>> idle;
 };
 
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -25,12 +25,14 @@
     Close,
     HalfClose, ///< The upstream shuts down its sending direction, but still reads.
     LateBytes, ///< The upstream sends a second response 50 ms later.
+    Endless, ///< The upstream repeats the last part until the connection is closed.
 };
 
 struct Script
 {
     std::string response;
     After after = After::Keep;
+    std::string part{}; ///< Bytes that are repeated with After::Endless.
 };
 
 /// An upstream that responds to the first request by a script and to all others with a complete response.
@@ -51,6 +53,8 @@
 
     int connections = 0;
     std::string lastRequest;
+    std::size_t endlessBytes = 0; ///< Bytes sent with After::Endless.
+    bool endlessClosed = false; ///< Whether the connection of a response with After::Endless was closed.
 
 private:
     asio::awaitable<void> accept()
@@ -77,7 +81,11 @@
             buffer.clear();
             const Script now = std::exchange(this->script, Script{std::string(good)});
             co_await asio::async_write(socket, asio::buffer(now.response), awaitTuple);
-            if (now.after == After::Close) {
+            for (bool isOpen = now.after == After::Endless; isOpen; this->endlessBytes += now.part.size()) {
+                isOpen = !std::get<0>(co_await asio::async_write(socket, asio::buffer(now.part), awaitTuple));
+                this->endlessClosed = !isOpen;
+            }
+            if (now.after == After::Close || now.after == After::Endless) {
                 co_return;
             }
             if (now.after == After::HalfClose) {
@@ -170,6 +178,8 @@
     CPPUNIT_TEST(refusedConnectionIsReportedAsNotRun);
     CPPUNIT_TEST(connectionFieldsAreNotForwarded);
     CPPUNIT_TEST(requestAbortedDuringConnectIsNotSent);
+    CPPUNIT_TEST(endlessResponseIsDropped);
+    CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +245,75 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), upstream.lastRequest);
     }
 
+    /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
+    /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
+    void endlessResponseIsDropped()
+    {
+        constexpr std::size_t maxSentBytes = 16 * 1024 * 1024;
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const std::string filler(64 * 1024, 'x');
+        const struct
+        {
+            const char *name;
+            Script script;
+            ErrorKind error;
+        } table[] = {
+            {"header field", {ok + "X-Long: ", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
+            {"header fields", {ok, After::Endless, "X-Field: value\r\n"}, ErrorKind::UpstreamAnswerTooLarge},
+            {"status line", {"HTTP/1.1 200 ", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
+            {"body without a length", {ok + "\r\n", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
+            {"chunks", {ok + "Transfer-Encoding: chunked\r\n\r\n", After::Endless, "2\r\nok\r\n"}, ErrorKind::UpstreamAnswerTooLarge},
+            {"chunk extension",
+             {ok + "Transfer-Encoding: chunked\r\n\r\n2;a=", After::Endless, filler},
+             ErrorKind::UpstreamAnswerTooLarge},
+            {"trailer", {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", After::Endless, "X-Field: value\r\n"}, ErrorKind::UpstreamAnswerTooLarge},
+            {"interim responses", {"", After::Endless, "HTTP/1.1 103 Early Hints\r\n\r\n"}, ErrorKind::UpstreamAnswerInvalid},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, row.script);
+            UpstreamPool pool(context.get_executor(), upstream.address(), smallLimits());
+            const auto response = sendRequest(context, pool, testTimeout);
+            CPPUNIT_ASSERT_MESSAGE(row.name, !response.ok());
+            const std::string seen(errorRow(errorKindOf(response.status())).name);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(errorRow(row.error).name), seen);
+            runUntil(context, [&upstream] {
+                return upstream.endlessClosed;
+            });
+            CPPUNIT_ASSERT_MESSAGE(row.name, upstream.endlessBytes <= maxSentBytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("ok"), sendRequest(context, pool, testTimeout)->body);
+        }
+    }
+
+    /// Guards against endless bodies, each below the limit of one response, that together exceed the memory of the process, and
+    /// against a short response that is dropped in place of them.
+    void endlessBodiesAreDroppedBeforeOthers()
+    {
+        UpstreamLimits limits = smallLimits();
+        limits.bodyBytes = 64 * 1024 * 1024;
+        limits.totalBytes = 1024 * 1024;
+        asio::io_context context;
+        const std::string filler(64 * 1024, 'x');
+        ScriptedUpstream upstream(context, {"HTTP/1.1 200 OK\r\n\r\n", After::Endless, filler});
+        UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+        const auto endless = sendRequest(context, pool, testTimeout);
+        CPPUNIT_ASSERT(errorKindOf(endless.status()) == ErrorKind::UpstreamAnswerTooLarge);
+
+        ByteBudget budget(100);
+        int dropped = 0;
+        ByteReservation large(budget, [&dropped] {
+            dropped += 1;
+        });
+        ByteReservation small(budget, [&dropped] {
+            dropped += 10;
+        });
+        large.resize(95);
+        small.resize(10);
+        CPPUNIT_ASSERT_EQUAL(1, dropped);
+        CPPUNIT_ASSERT(large.isDropped() && !small.isDropped());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), budget.used());
+    }
+
     /// Guards against hop-by-hop fields of the caller that change how the upstream responds, e.g. with an interim response.
     void connectionFieldsAreNotForwarded()
     {
