Bound the bodies in transit between nodes and take the memory limit from the settings

Cause: several homes that relay endless bodies could fill the memory of one ingress: each message had a limit of 64 MB of its own, above which nothing was counted.

Tests: PeerSessionTest::bodiesInTransitAreBoundedTogether, SettingsTest::memoryIsBounded.

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -219,6 +219,13 @@
     if (raw.logLinesPerSecond < 1 || raw.logLinesPerSecond > maxLogLines) {
         status.Update(invalid("log_lines_per_s", std::to_string(raw.logLinesPerSecond), "1 to 100000"));
     }
+    constexpr int minMemoryMb = 32;
+    constexpr int maxMemoryMb = 1'048'576;
+    constexpr std::size_t megabyte = 1024 * 1024;
+    if (raw.memoryMb < minMemoryMb || raw.memoryMb > maxMemoryMb) {
+        status.Update(invalid("memory_mb", std::to_string(raw.memoryMb), "32 to 1048576 MB"));
+    }
+    settings.memoryBytes = static_cast<std::size_t>(std::max(raw.memoryMb, 0)) * megabyte;
     settings.logLinesPerSecond = raw.logLinesPerSecond;
     settings.drainTimeout = std::chrono::seconds(raw.drainTimeoutSeconds);
     if (settings.peerAddress.address().is_unspecified()) {
--- a/galenarack/node/settings.h
+++ b/galenarack/node/settings.h
@@ -39,6 +39,7 @@
     std::vector<PeerSeed> peerSeeds;
     Duration drainTimeout = std::chrono::seconds(30); ///< Maximum time from SIGTERM to the end of the process.
     LogLevel logLevel = LogLevel::Info;
+    std::size_t memoryBytes = 256 * 1024 * 1024; ///< Memory that the process may use.
     double logLinesPerSecond = 200; ///< Average rate limit of informational log lines.
 };
 
@@ -59,6 +60,7 @@
     std::string peerSeeds;
     std::string logLevel;
     int logLinesPerSecond = 200;
+    int memoryMb = 256;
     int drainTimeoutSeconds = 0;
 };
 
--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -79,6 +79,7 @@
     HeaderList headers;
     std::size_t headerBytes = 0;
     std::string body;
+    std::unique_ptr<ByteReservation> reservation; ///< Share of the body in PeerLimits::bodyBudget; null until it is received.
     std::string sendBody;
     std::size_t sendOffset = 0;
     std::shared_ptr<PeerCall> call; ///< Server: the request in progress.
@@ -284,6 +285,18 @@
     }
 }
 
+void PeerSession::rejectTooLarge(std::int32_t streamId, Stream &stream)
+{
+    stream.tooLarge = true;
+    std::string().swap(stream.body);
+    nghttp2_submit_rst_stream(this->session.get(), NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
+    asio::post(this->socket.get_executor(), [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock(); self && self->open) {
+            self->flush();
+        }
+    });
+}
+
 std::string PeerSession::remoteAddress() const
 {
     boost::system::error_code error;
@@ -512,6 +525,7 @@
     }
     const std::shared_ptr<Stream> stream = entry->second;
     this->streams.erase(entry);
+    stream->reservation.reset();
     stream->done = true;
     stream->closeCode = errorCode;
     stream->refused = errorCode == NGHTTP2_REFUSED_STREAM;
@@ -565,7 +579,7 @@
 }
 
 int PeerSession::onDataChunk(
-    nghttp2_session *session, std::uint8_t, std::int32_t streamId, const std::uint8_t *data, std::size_t length, void *user)
+    nghttp2_session *, std::uint8_t, std::int32_t streamId, const std::uint8_t *data, std::size_t length, void *user)
 {
     auto &self = *static_cast<PeerSession *>(user);
     const auto entry = self.streams.find(streamId);
@@ -573,12 +587,22 @@
         return 0;
     }
     Stream &stream = *entry->second;
+    if (stream.tooLarge) {
+        return 0;
+    }
     if (stream.body.size() + length > self.limits.bodyBytes) {
-        stream.tooLarge = true;
-        nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
+        self.rejectTooLarge(streamId, stream);
         return 0;
     }
     stream.body.append(toView(data, length));
+    if (self.limits.bodyBudget) {
+        if (!stream.reservation) {
+            stream.reservation = std::make_unique<ByteReservation>(*self.limits.bodyBudget, [&self, streamId, &stream] {
+                self.rejectTooLarge(streamId, stream);
+            });
+        }
+        stream.reservation->resize(stream.body.capacity());
+    }
     return 0;
 }
 
--- a/galenarack/peer/peersession.h
+++ b/galenarack/peer/peersession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <galenarack/core/bytebudget.h>
 #include <galenarack/core/cancellation.h>
 #include <galenarack/core/clock.h>
 #include <galenarack/peer/peermessage.h>
@@ -49,6 +50,7 @@
 {
     std::size_t headerBytes = 32 * 1024; ///< Maximum size of all header fields of one message, in bytes.
     std::size_t bodyBytes = 1024 * 1024; ///< Maximum size of the body of one message, in bytes.
+    std::shared_ptr<ByteBudget> bodyBudget; ///< Limits the bodies in transit of all connections together; null for no limit.
     std::uint32_t concurrentStreams = 1024; ///< Maximum number of open streams that the peer may start.
     /// Time without received data after which a PING is sent, while streams are open.
     Duration pingInterval = std::chrono::milliseconds(500);
@@ -183,6 +185,9 @@
     void handleMessageComplete(std::int32_t streamId, Stream &stream);
     void handleStreamClosed(std::int32_t streamId, std::uint32_t errorCode);
     void resetStream(std::int32_t streamId);
+
+    /// Ends a stream whose message exceeds a limit, and frees its body. May be called from a callback of nghttp2.
+    void rejectTooLarge(std::int32_t streamId, Stream &stream);
     void flush();
 
     static int onBeginHeaders(nghttp2_session *session, const nghttp2_frame *frame, void *user);
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -75,11 +75,12 @@
     return "";
 }
 
-UpstreamLimits poolLimits(const Dialect &dialect)
+UpstreamLimits poolLimits(const Dialect &dialect, std::size_t responseBytes)
 {
     UpstreamLimits limits;
     limits.idleConnections = 64;
     limits.bodyBytes = 64 * 1024 * 1024;
+    limits.totalBytes = responseBytes;
     limits.requestIdField = dialect.requestId;
     limits.alwaysEchoesId = true;
     return limits;
@@ -91,13 +92,14 @@
                          asio::ip::address vm,
                          const asio::ip::tcp::endpoint &upstream,
                          const Dialect &dialect,
+                         std::size_t responseBytes,
                          const RetryBound &retry,
                          const FleetView &view)
     : executor(std::move(executor))
     , vm(std::move(vm))
     , dialect(dialect)
     , view(view)
-    , pool(this->executor, upstream, poolLimits(dialect))
+    , pool(this->executor, upstream, poolLimits(dialect, responseBytes))
     , queue(initialSlots)
     , grayFilter(NodeClock::now())
     , repeats(retry)
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -30,11 +30,13 @@
 public:
     /// @param vm address of this VM; selects the entry of its upstream in the fleet view
     /// @param upstream address of the upstream on this VM
+    /// @param responseBytes maximum size of all responses of the upstream in transit, in bytes
     /// @param retry fleet-wide limit on repeats
     HomeService(boost::asio::any_io_executor executor,
                 boost::asio::ip::address vm,
                 const boost::asio::ip::tcp::endpoint &upstream,
                 const Dialect &dialect,
+                std::size_t responseBytes,
                 const RetryBound &retry,
                 const FleetView &view);
 
--- a/galenarack/proxy/peerlinks.cpp
+++ b/galenarack/proxy/peerlinks.cpp
@@ -23,10 +23,11 @@
 /// has failed.
 constexpr Duration pauseLimit = std::chrono::milliseconds(500);
 
-PeerLimits linkLimits()
+PeerLimits linkLimits(std::size_t bodyBytes)
 {
     PeerLimits limits;
     limits.bodyBytes = 64 * 1024 * 1024;
+    limits.bodyBudget = std::make_shared<ByteBudget>(bodyBytes);
     limits.pingInterval = std::chrono::milliseconds(400);
     limits.pingTimeout = std::chrono::milliseconds(400);
     limits.keepUnresponsiveConnections = true;
@@ -35,9 +36,10 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(const asio::any_io_executor &executor, std::uint16_t port, PeerHandler handler)
+PeerLinks::PeerLinks(const asio::any_io_executor &executor, std::uint16_t port, std::size_t bodyBytes, PeerHandler handler)
     : executor(executor)
     , port(port)
+    , limits(linkLimits(bodyBytes))
     , handler(std::move(handler))
     , listener(executor, [this](asio::ip::tcp::socket socket) {
         this->accept(std::move(socket));
@@ -57,7 +59,7 @@
 
 void PeerLinks::accept(asio::ip::tcp::socket socket)
 {
-    const auto session = std::make_shared<PeerSession>(std::move(socket), PeerSession::Role::Server, linkLimits(), this->handler);
+    const auto session = std::make_shared<PeerSession>(std::move(socket), PeerSession::Role::Server, this->limits, this->handler);
     std::erase_if(this->accepted, [](const std::weak_ptr<PeerSession> &known) {
         return known.expired();
     });
@@ -74,7 +76,7 @@
         co_return nullptr;
     }
     stream.expires_never();
-    const auto session = std::make_shared<PeerSession>(stream.release_socket(), PeerSession::Role::Client, linkLimits(), nullptr);
+    const auto session = std::make_shared<PeerSession>(stream.release_socket(), PeerSession::Role::Client, this->limits, nullptr);
     session->start();
     co_return session;
 }
--- a/galenarack/proxy/peerlinks.h
+++ b/galenarack/proxy/peerlinks.h
@@ -22,8 +22,9 @@
 {
 public:
     /// @param port on which every node of the fleet listens for its peers
+    /// @param bodyBytes maximum size of all bodies in transit between this node and its peers, in bytes
     /// @param handler called for each request of a peer
-    PeerLinks(const boost::asio::any_io_executor &executor, std::uint16_t port, PeerHandler handler);
+    PeerLinks(const boost::asio::any_io_executor &executor, std::uint16_t port, std::size_t bodyBytes, PeerHandler handler);
 
     /// Binds to an address and starts to accept connections.
     /// @return SettingInvalid when the address cannot be bound
@@ -70,6 +71,7 @@
 
     boost::asio::any_io_executor executor;
     std::uint16_t port;
+    PeerLimits limits; ///< Limits of each connection; their budget is shared by all connections.
     PeerHandler handler;
     Listener listener;
     std::map<boost::asio::ip::address, std::shared_ptr<Link>> links;
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -31,6 +31,10 @@
 /// Requests that no upstream is running are refused this long before the process would be killed.
 constexpr Duration refusalMargin = std::chrono::milliseconds(1200);
 
+/// Share of the memory of the process for the responses of the upstream in transit, and as much again for the bodies on the
+/// connections between nodes. A buffer that grows needs up to three times the size of its contents for a moment.
+constexpr std::size_t transitMemoryShare = 8;
+
 ServiceSettings registrySettings(const Settings &settings)
 {
     ServiceSettings service;
@@ -65,10 +69,12 @@
            settings.peerAddress.address(),
            settings.homeUpstreams.front().address,
            this->dialect,
+           settings.memoryBytes / transitMemoryShare,
            settings.bounds.retry,
            this->view)
     , links(context.get_executor(),
             settings.peerAddress.port(),
+            settings.memoryBytes / transitMemoryShare,
             [this](std::shared_ptr<PeerCall> call) {
                 return this->home.handle(std::move(call));
             })
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -31,6 +31,7 @@
               "Platform: IP:PORT of the registry that holds the configuration and the upstreams' entries, instead of --config_service");
 DEFINE_string(bounds, "", "Platform: NAME=VALUE,... parameters of the deployment, with --registry");
 DEFINE_string(peer_seeds, "", "Platform: VM=IP,... nodes to query at start, for when the configuration service is unreachable");
+DEFINE_int32(memory_mb, 256, "Behaviour: memory that the process may use, in MB; with --registry, limits the bodies in transit");
 DEFINE_int32(drain_timeout_s, 30, "Behaviour: after SIGTERM the process ends within this many seconds");
 DEFINE_string(log_level, "info", "Behaviour: lowest level that is logged: debug, info, warn or error");
 
@@ -81,6 +82,7 @@
     raw.peerSeeds = FLAGS_peer_seeds;
     raw.logLevel = FLAGS_log_level;
     raw.logLinesPerSecond = FLAGS_log_lines_per_s;
+    raw.memoryMb = FLAGS_memory_mb;
     raw.drainTimeoutSeconds = FLAGS_drain_timeout_s;
     return raw;
 }
--- a/unittests/peersessiontest.cpp
+++ b/unittests/peersessiontest.cpp
@@ -39,13 +39,14 @@
 /// answers other paths at once: `/size/N` with a body of N bytes, the rest with the body of the request.
 struct Pair
 {
-    Pair()
+    /// @param clientLimits limits of the client session
+    explicit Pair(const PeerLimits &clientLimits = limits())
     {
         tcp::acceptor acceptor(this->context, anyLoopbackPort());
         tcp::socket clientSocket(this->context);
         clientSocket.connect(acceptor.local_endpoint());
         this->serverSocket = acceptor.accept();
-        this->client = std::make_shared<PeerSession>(std::move(clientSocket), PeerSession::Role::Client, limits(), PeerHandler());
+        this->client = std::make_shared<PeerSession>(std::move(clientSocket), PeerSession::Role::Client, clientLimits, PeerHandler());
         this->client->start();
     }
 
@@ -120,6 +121,7 @@
     CPPUNIT_TEST_SUITE(PeerSessionTest);
     CPPUNIT_TEST(requestAndResponseArriveWhole);
     CPPUNIT_TEST(bodiesAreBounded);
+    CPPUNIT_TEST(bodiesInTransitAreBoundedTogether);
     CPPUNIT_TEST(connectionFieldsDoNotEndTheStream);
     CPPUNIT_TEST(goAwayRefusesNewRequests);
     CPPUNIT_TEST(unresponsivePeerIsDetectedInTime);
@@ -171,6 +173,25 @@
         CPPUNIT_ASSERT(pair.sendRequest(requestOf("/echo", "still open")).ok());
     }
 
+    /// Guards against bodies, each within the limit of one message, that together exceed the memory of the process, and against
+    /// a small message that is dropped in place of a large one.
+    void bodiesInTransitAreBoundedTogether()
+    {
+        PeerLimits clientLimits = limits();
+        clientLimits.bodyBudget = std::make_shared<ByteBudget>(bodyLimit / 2);
+        Pair pair(clientLimits);
+        pair.startServer();
+        const auto large = pair.sendRequest(requestOf("/size/" + std::to_string(bodyLimit)));
+        CPPUNIT_ASSERT(errorKindOf(large.status()) == ErrorKind::UpstreamAnswerTooLarge);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, clientLimits.bodyBudget->used());
+
+        pair.start(requestOf("/size/" + std::to_string(bodyLimit)));
+        const auto small = pair.sendRequest(requestOf("/size/1000"));
+        CPPUNIT_ASSERT(small.ok() && small->body.size() == 1000);
+        CPPUNIT_ASSERT(pair.waitForError() == ErrorKind::UpstreamAnswerTooLarge);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, clientLimits.bodyBudget->used());
+    }
+
     /// Guards against a caller's `Connection: keep-alive` that makes the peer reset the stream (RFC 9113 section 8.2.2).
     void connectionFieldsDoNotEndTheStream()
     {
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST_SUITE(SettingsTest);
     CPPUNIT_TEST(validSettingsAreAccepted);
     CPPUNIT_TEST(errorsNameFlagValueAndAllowedValues);
+    CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST(drainTimeoutIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +132,16 @@
         }
     }
 
+    /// Guards against a memory limit that leaves no room for any response, or that overflows.
+    void memoryIsBounded()
+    {
+        for (const int megabytes : {0, -1, 31, 1'048'577}) {
+            RawSettings raw = validSettings();
+            raw.memoryMb = megabytes;
+            requireError(raw, "memory_mb", std::to_string(megabytes), "32 to 1048576 MB");
+        }
+    }
+
     /// Guards against a drain time-out that ends the process at once after SIGTERM, or lets it run on indefinitely.
     void drainTimeoutIsBounded()
     {
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -263,10 +263,10 @@
             {"status line", {"HTTP/1.1 200 ", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
             {"body without a length", {ok + "\r\n", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
             {"chunks", {ok + "Transfer-Encoding: chunked\r\n\r\n", After::Endless, "2\r\nok\r\n"}, ErrorKind::UpstreamAnswerTooLarge},
-            {"chunk extension",
-             {ok + "Transfer-Encoding: chunked\r\n\r\n2;a=", After::Endless, filler},
+            {"chunk extension", {ok + "Transfer-Encoding: chunked\r\n\r\n2;a=", After::Endless, filler}, ErrorKind::UpstreamAnswerTooLarge},
+            {"trailer",
+             {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", After::Endless, "X-Field: value\r\n"},
              ErrorKind::UpstreamAnswerTooLarge},
-            {"trailer", {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", After::Endless, "X-Field: value\r\n"}, ErrorKind::UpstreamAnswerTooLarge},
             {"interim responses", {"", After::Endless, "HTTP/1.1 103 Early Hints\r\n\r\n"}, ErrorKind::UpstreamAnswerInvalid},
         };
         for (const auto &row : table) {
