Answer the requests on all accepted connections before a planned stop ends

Cause: under load, a node that was stopped reset the connections that the system had established but the node had not accepted, dropped a connection that was accepted in the moment of the stop, and, since requests kept arriving, ended in the middle of others just before it would have been killed.

Change: the listener passes on every established connection before it closes. The node then serves the remaining connections to their end, without accepting new ones, and starts this early enough before it would be killed.

--- a/galenarack/core/listener.cpp
+++ b/galenarack/core/listener.cpp
@@ -55,8 +55,16 @@
 
 void Listener::stop()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(this->acceptor.get_executor());
+        this->acceptor.accept(socket, error);
+        if (!error) {
+            this->acceptHandler(std::move(socket));
+        }
+    }
+    this->acceptor.close(error);
 }
 
 asio::ip::tcp::endpoint Listener::address() const
@@ -70,15 +78,17 @@
     asio::steady_timer timer(this->acceptor.get_executor());
     for (;;) {
         auto [error, socket] = co_await this->acceptor.async_accept(awaitTuple);
-        if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
+        // A connection may have been accepted just before stop() closed the acceptor.
+        if (!error) {
+            this->acceptHandler(std::move(socket));
+        }
+        if (!this->acceptor.is_open()) {
             co_return;
         }
         if (error) {
             timer.expires_after(acceptRetryDelay);
             co_await timer.async_wait(awaitTuple);
-            continue;
         }
-        this->acceptHandler(std::move(socket));
     }
 }
 
--- a/galenarack/core/listener.h
+++ b/galenarack/core/listener.h
@@ -24,7 +24,8 @@
     /// @return SettingInvalid when the address cannot be bound
     absl::Status listen(const boost::asio::ip::tcp::endpoint &address, std::string_view setting);
 
-    /// Closes the listening socket, which ends the accept loop.
+    /// Passes on the connections that are already established, then closes the listening socket, which ends the accept loop.
+    /// The system would reset connections that are established but not accepted.
     void stop();
 
     /// @return the local address with the bound port
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -26,6 +26,10 @@
 /// Maximum number of requests in progress on one connection; further ones stay unread in the socket.
 constexpr std::size_t pipelineLimit = 64;
 
+/// After stop(), a connection is closed when no request has arrived on it for this long. A request that was sent before the
+/// caller could know of the stop arrives within one round trip.
+constexpr Duration stoppedIdleTime = std::chrono::milliseconds(150);
+
 /// Time for which the bytes that a caller still sends are read after the last response.
 constexpr Duration discardTimeout = std::chrono::seconds(2);
 
@@ -280,7 +284,8 @@
         const bool isIdle = connection->pending.empty() && !connection->reading && !connection->writing;
         const bool isSlow = connection->reading && age > limits.headerTimeout + transferTimeout;
         const bool isStuck = connection->writing && age > transferTimeout;
-        if ((isIdle && age > limits.idleTimeout) || isSlow || isStuck) {
+        const bool isLeftOver = isIdle && this->stoppedAt && std::min(age, now - *this->stoppedAt) > stoppedIdleTime;
+        if ((isIdle && age > limits.idleTimeout) || isLeftOver || isSlow || isStuck) {
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
         }
@@ -295,12 +300,7 @@
 void CallerServer::stop()
 {
     this->listener.stop();
-    for (const auto &connection : this->connections) {
-        if (connection->pending.empty() && !connection->reading) {
-            boost::system::error_code ignored;
-            connection->socket.cancel(ignored);
-        }
-    }
+    this->stoppedAt = NodeClock::now();
 }
 
 std::size_t CallerServer::pending() const
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace Galenarack {
 
@@ -42,9 +43,16 @@
     /// Called when the node is leaving: from now on each connection is closed after its last pending response.
     void drain();
 
-    /// Stops accepting connections and closes those without a request in progress.
+    /// Stops accepting connections. From then on, tick() closes the connections on which no request has arrived for a short
+    /// time.
     void stop();
 
+    /// @return number of open connections
+    std::size_t connectionCount() const
+    {
+        return this->connections.size();
+    }
+
     /// @return number of requests whose response has not been sent, including those received in part
     std::size_t pending() const;
 
@@ -69,6 +77,7 @@
     Listener listener;
     std::list<std::shared_ptr<Connection>> connections;
     bool draining = false;
+    std::optional<TimePoint> stoppedAt; ///< Time of stop(), if it was called.
     Log log{"callers"};
 };
 
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -28,6 +28,10 @@
 /// The process exits this long before it would be killed.
 constexpr Duration killMargin = std::chrono::milliseconds(300);
 
+/// No further connections are accepted from this long before the process would be killed, even if requests keep arriving, so
+/// that those on accepted connections can be answered.
+constexpr Duration lastAcceptMargin = std::chrono::milliseconds(900);
+
 /// Requests that no upstream is running are refused this long before the process would be killed.
 constexpr Duration refusalMargin = std::chrono::milliseconds(1200);
 
@@ -182,15 +186,21 @@
     if (age >= lateRequestTime) {
         this->router.drainUntil(this->drainStarted + this->settings.bounds.terminationGrace - refusalMargin);
     }
-    const bool isIdle = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0;
     if (age < announceTime) {
         return;
     }
-    if (age >= this->settings.bounds.terminationGrace - refusalMargin) {
+    const Duration grace = this->settings.bounds.terminationGrace;
+    if (age >= grace - refusalMargin) {
         this->router.refuseUnstarted();
     }
-    if (isIdle || age >= this->settings.bounds.terminationGrace - killMargin) {
+    const bool isIdle = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0;
+    if (!this->callersStopped && (isIdle || age >= grace - lastAcceptMargin)) {
+        this->callersStopped = true;
         this->callers.stop();
+        return;
+    }
+    const bool isServed = this->callersStopped && isIdle && this->callers.connectionCount() == 0;
+    if (isServed || age >= grace - killMargin) {
         this->links.stop();
         this->log.info("node stopped",
                        {{"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
--- a/galenarack/proxy/proxynode.h
+++ b/galenarack/proxy/proxynode.h
@@ -56,6 +56,7 @@
     std::unique_ptr<OperatorServer> operatorServer;
     boost::asio::steady_timer timer;
     bool draining = false;
+    bool callersStopped = false; ///< No further connections of callers are accepted; the remaining ones are served to their end.
     TimePoint drainStarted;
     Log log{"node"};
 };
--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -6,7 +6,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <map>
 #include <optional>
+#include <string>
 
 using namespace Galenarack;
 using namespace std::chrono_literals;
@@ -81,6 +83,7 @@
     CPPUNIT_TEST(limitsCallsForFrequentChanges);
     CPPUNIT_TEST(usesRecoveredUpstream);
     CPPUNIT_TEST(drainsWithoutLoss);
+    CPPUNIT_TEST(answersAllAcceptedRequestsBeforeItStops);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +244,52 @@
         CPPUNIT_ASSERT_EQUAL(200U, sendAndWait(fleet, 0, "GET", "/new/x", "o3").status);
     }
 
+    /// Guards against requests on connections that were accepted just before the end of a planned stop, and that are cut off
+    /// without an answer. Callers that ignore the readiness keep sending on new connections until the process is gone.
+    void answersAllAcceptedRequestsBeforeItStops()
+    {
+        constexpr unsigned callerCount = 12;
+        PlatformFleet fleet(nodeCount);
+        startAll(fleet);
+        for (const auto &upstream : fleet.upstreams) {
+            upstream->behaviour.processingTime = 20ms;
+        }
+        unsigned activeCallers = callerCount;
+        unsigned answered = 0;
+        std::map<std::string, unsigned> cut;
+        for (unsigned caller = 0; caller < callerCount; ++caller) {
+            asio::co_spawn(
+                fleet.context,
+                [&, caller]() -> asio::awaitable<void> {
+                    for (unsigned i = 0;; ++i) {
+                        const std::string id = "p" + std::to_string(caller) + "-" + std::to_string(i);
+                        const CallResult result = co_await fleet.sendDirectly(0, "GET", "/read/x", id, 3s);
+                        if (result.end == StandIns::ExchangeEnd::ConnectFailed) {
+                            break;
+                        }
+                        if (result.end == StandIns::ExchangeEnd::Complete) {
+                            ++answered;
+                        } else {
+                            ++cut[std::string(StandIns::exchangeEndName(result.end))];
+                        }
+                    }
+                    --activeCallers;
+                },
+                asio::detached);
+        }
+        fleet.runFor(300ms);
+        fleet.processes[0]->signal(SIGTERM);
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (activeCallers > 0 && std::chrono::steady_clock::now() < end) {
+            fleet.runFor(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, activeCallers);
+        CPPUNIT_ASSERT(answered > callerCount);
+        const std::string message = cut.empty() ? "" : cut.begin()->first + " " + std::to_string(cut.begin()->second);
+        CPPUNIT_ASSERT_EQUAL(std::string(), message);
+        CPPUNIT_ASSERT(fleet.processes[0]->wait(7s).has_value());
+    }
+
     /// Guards against requests in flight that are lost when their ingress or home drains, and against a node that does not stop.
     void drainsWithoutLoss()
     {
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -310,7 +310,19 @@
 asio::awaitable<CallResult> PlatformFleet::send(
     unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
-    HttpClient client(this->context, Tcp::endpoint(asio::ip::make_address(this->vmAddress(node)), this->basePort));
+    co_return co_await this->sendTo({asio::ip::make_address(this->vmAddress(node)), this->basePort}, method, target, id, timeout);
+}
+
+asio::awaitable<CallResult> PlatformFleet::sendDirectly(
+    unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
+{
+    co_return co_await this->sendTo(parseEndpoint(this->directAddress(node, 0)), method, target, id, timeout);
+}
+
+asio::awaitable<CallResult> PlatformFleet::sendTo(
+    const Tcp::endpoint &address, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
+{
+    HttpClient client(this->context, address);
     HttpRequest request(boost::beast::http::string_to_verb(method), target, 11);
     request.set(boost::beast::http::field::host, "fleet.example");
     request.set(requestIdField, id);
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -139,6 +139,11 @@
     boost::asio::awaitable<CallResult> send(
         unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
 
+    /// Like send(), on a new connection to the process of the node itself, without the relay for callers. A connection that the
+    /// process has not accepted fails.
+    boost::asio::awaitable<CallResult> sendDirectly(
+        unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
+
     /// Applies a fault to a path of a node, for existing connections and, unless `existingOnly`, for new ones.
     void setPathFault(unsigned node, Path path, const StandIns::PathFault &fault, bool existingOnly);
 
@@ -174,6 +179,9 @@
     /// @return IPv4 address of the VM of a node
     std::string vmAddress(unsigned node) const;
 
+    boost::asio::awaitable<CallResult> sendTo(
+        const StandIns::Tcp::endpoint &address, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
+
     /// @return "IPv4:port" where the node listens behind the relay
     std::string directAddress(unsigned node, unsigned offset) const;
 
