Test late copies, broken responses, paused homes and restarts after an upstream has left

PlatformTest::waitsForWorkOfPausedHome and ::forgetsUpstreamThatLeftAcrossRestart run real processes.

--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(usesRecoveredUpstream);
     CPPUNIT_TEST(drainsWithoutLoss);
     CPPUNIT_TEST(answersAllAcceptedRequestsBeforeItStops);
+    CPPUNIT_TEST(waitsForWorkOfPausedHome);
+    CPPUNIT_TEST(forgetsUpstreamThatLeftAcrossRestart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -290,6 +292,73 @@
         CPPUNIT_ASSERT(fleet.processes[0]->wait(7s).has_value());
     }
 
+    /// Guards against work that is run again elsewhere, or given up, because the machine that runs it was silent for a while.
+    void waitsForWorkOfPausedHome()
+    {
+        const struct
+        {
+            const char *name;
+            bool paused; ///< Whether the home is stopped and continued; otherwise its path to the ingress goes silent.
+        } cases[] = {{"paused process", true}, {"silent path", false}};
+        for (const auto &row : cases) {
+            PlatformFleet fleet(nodeCount);
+            startAll(fleet);
+            for (const auto &upstream : fleet.upstreams) {
+                upstream->behaviour.processingTime = 800ms;
+            }
+            std::optional<CallResult> result;
+            asio::co_spawn(
+                fleet.context,
+                [&]() -> asio::awaitable<void> {
+                    result = co_await fleet.send(0, "POST", "/write/x", "w1", 5s);
+                },
+                asio::detached);
+            while (fleet.runCount("w1") == 0) {
+                fleet.runFor(10ms);
+            }
+            // Node 0 prefers the upstream of node 1, which is in its failure domain.
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{1}, fleet.upstreams[1]->runs.size());
+            if (row.paused) {
+                fleet.processes[1]->signal(SIGSTOP);
+            } else {
+                fleet.setPathFault(1, PlatformFleet::Path::Peers, {.forwardSilent = true, .backwardSilent = true}, true);
+            }
+            fleet.runFor(1600ms);
+            CPPUNIT_ASSERT_MESSAGE(row.name, !result);
+            fleet.processes[1]->signal(SIGCONT);
+            fleet.setPathFault(1, PlatformFleet::Path::Peers, {}, true);
+            while (!result) {
+                fleet.runFor(10ms);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 200U, result->status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 1U, fleet.runCount("w1"));
+        }
+    }
+
+    /// Guards against an upstream that has left and is used again after a node was restarted, also when the node can't reach the
+    /// registry after its start.
+    void forgetsUpstreamThatLeftAcrossRestart()
+    {
+        PlatformFleet fleet(nodeCount);
+        startAll(fleet);
+        CPPUNIT_ASSERT_EQUAL(200U, sendAndWait(fleet, 0, "GET", "/read/x", "b1").status);
+        fleet.registry.remove("servers/" + fleet.upstreams[1]->id);
+        fleet.runFor(1500ms);
+        const std::size_t before = fleet.upstreams[1]->runs.size();
+        for (const unsigned node : {0U, 1U}) {
+            fleet.startNode(node);
+            CPPUNIT_ASSERT(fleet.waitUntilReady(node));
+        }
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, sendAndWait(fleet, 0, "GET", "/read/x", "r" + std::to_string(i)).status);
+        }
+        fleet.registry.setReachable(false);
+        fleet.startNode(0);
+        fleet.runFor(1s);
+        CPPUNIT_ASSERT_EQUAL(503U, sendAndWait(fleet, 0, "GET", "/read/x", "u1").status);
+        CPPUNIT_ASSERT_EQUAL(before, fleet.upstreams[1]->runs.size());
+    }
+
     /// Guards against requests in flight that are lost when their ingress or home drains, and against a node that does not stop.
     void drainsWithoutLoss()
     {
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -25,6 +25,7 @@
     Close,
     HalfClose, ///< The upstream shuts down its sending direction, but still reads.
     LateBytes, ///< The upstream sends a second response 50 ms later.
+    Reset, ///< The upstream resets the connection after the response.
     Endless, ///< The upstream repeats the last part until the connection is closed.
 };
 
@@ -51,6 +52,7 @@
         return this->acceptor.local_endpoint();
     }
 
+    Script following{std::string(good)}; ///< Script of all requests after the first one.
     int connections = 0;
     std::string lastRequest;
     std::size_t endlessBytes = 0; ///< Bytes sent with After::Endless.
@@ -79,12 +81,19 @@
             }
             this->lastRequest = buffer.substr(0, length);
             buffer.clear();
-            const Script now = std::exchange(this->script, Script{std::string(good)});
+            const Script now = std::exchange(this->script, this->following);
             co_await asio::async_write(socket, asio::buffer(now.response), awaitTuple);
             for (bool isOpen = now.after == After::Endless; isOpen; this->endlessBytes += now.part.size()) {
                 isOpen = !std::get<0>(co_await asio::async_write(socket, asio::buffer(now.part), awaitTuple));
                 this->endlessClosed = !isOpen;
             }
+            if (now.after == After::Reset) {
+                asio::steady_timer timer(socket.get_executor(), 50ms);
+                co_await timer.async_wait(awaitTuple);
+                socket.set_option(asio::socket_base::linger(true, 0));
+                socket.close();
+                co_return;
+            }
             if (now.after == After::Close || now.after == After::Endless) {
                 co_return;
             }
@@ -178,6 +187,8 @@
     CPPUNIT_TEST(refusedConnectionIsReportedAsNotRun);
     CPPUNIT_TEST(connectionFieldsAreNotForwarded);
     CPPUNIT_TEST(requestAbortedDuringConnectIsNotSent);
+    CPPUNIT_TEST(lateCopyIsNotTakenForTheNextResponse);
+    CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST_SUITE_END();
@@ -245,6 +256,77 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), upstream.lastRequest);
     }
 
+    /// Guards against a second copy of a response that arrives late, on a connection which is in use again, and that the next
+    /// caller gets in place of its own response.
+    void lateCopyIsNotTakenForTheNextResponse()
+    {
+        const auto responseOf = [](std::string_view id, std::string_view body) {
+            return "HTTP/1.1 200 OK\r\ngalenarack-request-id: " + std::string(id) + "\r\nContent-Length: " + std::to_string(body.size())
+                   + "\r\n\r\n" + std::string(body);
+        };
+        const std::string copy = responseOf("00000000000000010000000000000001", "of another caller");
+        const std::string own = responseOf(requestId, "ok");
+        const struct
+        {
+            const char *name;
+            Script second; ///< What the upstream sends when the second request has arrived.
+            std::optional<ErrorKind> error;
+        } table[] = {
+            {"copy before the response", {copy + own}, std::nullopt},
+            {"two copies before the response", {copy + copy + own}, std::nullopt},
+            {"only a copy", {copy, After::Close}, ErrorKind::UpstreamAnswerCut},
+            {"truncated copy", {copy.substr(0, copy.size() - 3), After::Close}, ErrorKind::UpstreamAnswerCut},
+            {"copies without end", {"", After::Endless, copy}, ErrorKind::UpstreamAnswerInvalid},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, {own});
+            upstream.following = row.second;
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("ok"), sendRequest(context, pool, testTimeout)->body);
+            const auto second = sendRequest(context, pool, testTimeout);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 1, upstream.connections);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, !row.error.has_value(), second.ok());
+            if (row.error) {
+                const std::string seen(errorRow(errorKindOf(second.status())).name);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(errorRow(*row.error).name), seen);
+            } else {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("ok"), second->body);
+            }
+        }
+    }
+
+    /// Guards against a response that broke off halfway and is passed on as a complete one: without a length, only the regular end
+    /// of the connection completes it.
+    void responseWithoutLengthIsCompleteOnlyAtTheEnd()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\ngalenarack-request-id: " + std::string(requestId) + "\r\n";
+        const struct
+        {
+            const char *name;
+            Script script;
+            bool complete;
+        } table[] = {
+            {"no length, closed", {head + "\r\nok", After::Close}, true},
+            {"no length, reset", {head + "\r\nok", After::Reset}, false},
+            {"length, closed early", {head + "Content-Length: 3\r\n\r\nok", After::Close}, false},
+            {"length, reset early", {head + "Content-Length: 3\r\n\r\nok", After::Reset}, false},
+            {"chunks, closed before the last one", {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", After::Close}, false},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, row.script);
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const auto response = sendRequest(context, pool, testTimeout);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.complete, response.ok());
+            CPPUNIT_ASSERT_MESSAGE(row.name, row.complete || errorKindOf(response.status()) == ErrorKind::UpstreamAnswerCut);
+        }
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
