--- a/galenarack/peer/peerclient.cpp
+++ b/galenarack/peer/peerclient.cpp
@@ -78,7 +78,7 @@
                        PathTable &paths)
     : executor(std::move(executor))
     , identity(std::move(identity))
-    , limits(limits)
+    , limits(std::move(limits))
     , ownReport(std::move(ownReport))
     , reportReceived(std::move(reportReceived))
     , paths(paths)
--- a/galenarack/peer/peerserver.cpp
+++ b/galenarack/peer/peerserver.cpp
@@ -27,7 +27,7 @@
                        std::function<void(const NodeReport &)> helloReceived,
                        PeerHandler handler)
     : identity(std::move(identity))
-    , limits(limits)
+    , limits(std::move(limits))
     , connectionLimit(connectionLimit)
     , ownReport(std::move(ownReport))
     , helloReceived(std::move(helloReceived))
--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -102,7 +102,7 @@
 PeerSession::PeerSession(asio::ip::tcp::socket socket, Role role, PeerLimits limits, PeerHandler handler)
     : socket(std::move(socket))
     , role(role)
-    , limits(limits)
+    , limits(std::move(limits))
     , handler(std::move(handler))
     , lastReceive(NodeClock::now())
 {
