Keep any request id intact between nodes

Cause: an offer between nodes lists its values separated by spaces, so a request whose id has a space was malformed for every home and answered 502. A request without an id came to a remote home with the id '-'.

Change: Offer percent-encodes the id; '-' stands for none, and an id '-' is encoded. percentEncoded() moves from KeyWatch to core/text, beside a decoder that also replaces that of the stand-ins. Ids of hexadecimal digits are sent as before.

--- a/galenarack/config/keywatch.cpp
+++ b/galenarack/config/keywatch.cpp
@@ -1,5 +1,7 @@
 #include <galenarack/config/keywatch.h>
 
+#include <galenarack/core/text.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -27,29 +29,6 @@
 /// Number of doublings after which the pause stops growing, independent of the settings.
 constexpr unsigned maxDoublings = 16;
 
-bool isUnreservedByte(char c)
-{
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '~';
-}
-
-/// Percent-encodes a query value (RFC 3986 section 2.1).
-std::string percentEncoded(std::string_view text)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : text) {
-        if (isUnreservedByte(c)) {
-            encoded += c;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        encoded += '%';
-        encoded += digits[byte >> 4U];
-        encoded += digits[byte & 15U];
-    }
-    return encoded;
-}
-
 } // namespace
 
 KeyWatch::KeyWatch(const asio::any_io_executor &executor, const ServiceSettings &settings, std::string key, std::uint64_t seed)
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -1,6 +1,7 @@
 #include <galenarack/proxy/offer.h>
 
 #include <galenarack/core/errorkind.h>
+#include <galenarack/core/text.h>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
@@ -73,6 +74,20 @@
     bool valid;
 };
 
+/// Stands for the id of a request that has none.
+constexpr std::string_view noRequestId = "-";
+
+/// @return the id as one part of a header field; callers may choose any characters
+std::string encodeRequestId(std::string_view id)
+{
+    return id.empty() ? std::string(noRequestId) : id == noRequestId ? "%2D" : percentEncoded(id);
+}
+
+std::string decodeRequestId(std::string_view part)
+{
+    return part == noRequestId ? std::string() : percentDecoded(part);
+}
+
 /// Bits of the flags in an offer. They are sent between nodes, so their values must not change.
 constexpr std::int64_t idempotentFlag = 1;
 constexpr std::int64_t allowUnhealthyFlag = 4;
@@ -93,7 +108,7 @@
     headers.add(offerField,
                 absl::StrCat(this->upstream,
                              " ",
-                             this->requestId.empty() ? "-" : this->requestId,
+                             encodeRequestId(this->requestId),
                              " ",
                              flags,
                              " ",
@@ -120,7 +135,7 @@
     PartReader originReader(headers.find(originField).value_or(""), 2);
     Offer offer;
     offer.upstream = offerReader.text();
-    offer.requestId = offerReader.text();
+    offer.requestId = decodeRequestId(offerReader.text());
     const std::int64_t flags = offerReader.number();
     offer.idempotent = (flags & idempotentFlag) != 0;
     offer.allowUnhealthy = (flags & allowUnhealthyFlag) != 0;
--- a/standins/common/network.cpp
+++ b/standins/common/network.cpp
@@ -1,5 +1,7 @@
 #include <standins/common/network.h>
 
+#include <galenarack/core/text.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -52,29 +54,13 @@
     return {text.substr(0, at), text.substr(at + 1)};
 }
 
-std::string percentDecode(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        unsigned value = 0;
-        const char *digits = text.data() + i + 1;
-        if (text[i] == '%' && i + 2 < text.size() && std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2) {
-            decoded.push_back(static_cast<char>(value));
-            i += 2;
-        } else {
-            decoded.push_back(text[i]);
-        }
-    }
-    return decoded;
-}
-
 Target::Target(std::string_view target)
 {
     const auto [path, query] = splitOnce(target, '?');
-    this->path = percentDecode(path);
+    this->path = percentDecoded(path);
     for (const std::string &pair : splitList(query, '&')) {
         const auto [name, value] = splitOnce(pair, '=');
-        this->query[percentDecode(name)] = percentDecode(value);
+        this->query[percentDecoded(name)] = percentDecoded(value);
     }
 }
 
--- a/standins/common/network.h
+++ b/standins/common/network.h
@@ -33,9 +33,6 @@
 /// Splits at the first `separator`; the second part is empty if there is none.
 std::pair<std::string_view, std::string_view> splitOnce(std::string_view text, char separator);
 
-/// Decodes %XX escapes; malformed ones are copied unchanged.
-std::string percentDecode(std::string_view text);
-
 /// Path and query of an HTTP request target.
 struct Target
 {
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -33,6 +33,7 @@
 {
     CPPUNIT_TEST_SUITE(OfferTest);
     CPPUNIT_TEST(roundTripsOffer);
+    CPPUNIT_TEST(roundTripsAnyRequestId);
     CPPUNIT_TEST(roundTripsReport);
     CPPUNIT_TEST(rejectsMalformed);
     CPPUNIT_TEST_SUITE_END();
@@ -63,6 +64,21 @@
         CPPUNIT_ASSERT(read.ok() && !read->idempotent && !read->allowTrial && !read->isRepeat && !read->allowUnhealthy);
     }
 
+    /// Guards against a request that no home accepts, or whose response is taken for that of another one, because its id has odd
+    /// characters or is missing.
+    void roundTripsAnyRequestId()
+    {
+        for (const char *id : {"", "-", "%2D", "two words", "a,b;c=d", "%", "%zz", "100%", "\xc3\xa9", "9c41d07be2a35f68"}) {
+            Offer offer = sample();
+            offer.requestId = id;
+            HeaderList headers;
+            offer.appendTo(headers);
+            const auto read = Offer::fromHeaders(headers);
+            CPPUNIT_ASSERT_MESSAGE(id, read.ok());
+            CPPUNIT_ASSERT_EQUAL(std::string(id), read->requestId);
+        }
+    }
+
     /// Guards against an outcome or a value of a report that the ingress reads back as another one, for each outcome.
     void roundTripsReport()
     {
