Send a rejected request again only on another connection

Cause: the ingress may offer a rejected request to the same upstream again, with the same id, and the home sent it on the connection of the rejection. A late copy of that rejection echoes the id of the request that waits, so it was taken for its answer.

Change: UpstreamPool remembers on each connection which requests got an error response there and sends them again on another one only. A connection is closed after an error response without an echoed id, and after 64 error responses. From upstreams that always echo, a response with no id or several is invalid.

Why it works: a connection carries each id that may be sent again once, so a copy with the id of the request that waits can't be on its connection.

Tests: UpstreamPoolTest::lateCopyOfRejectionIsNotTakenForTheNextTry (before: 503 in place of 200), ::responseWithOtherEchoesIsInvalid (before: accepted), PlatformTest::copyOfRejectionIsNotTakenForTheNextTry (before: run twice).

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -33,6 +33,9 @@
 /// Upstreams send one or two.
 constexpr unsigned skippedResponseLimit = 8;
 
+/// Number of error responses after which a connection is closed, which bounds the ids that are kept for it.
+constexpr std::size_t failedRequestLimit = 64;
+
 /// Size of the part of a body that is read at once.
 constexpr std::size_t readBytes = 64 * 1024;
 
@@ -74,6 +77,16 @@
     return response;
 }
 
+std::size_t hashOf(std::string_view requestId)
+{
+    return std::hash<std::string_view>()(requestId);
+}
+
+bool isSuccess(unsigned status)
+{
+    return status / 100 == 2;
+}
+
 /// @return whether this is an interim response, which the final one follows (RFC 9110 section 15.2); 101 is not, since it
 ///         ends HTTP on the connection
 bool isInterim(unsigned status)
@@ -116,6 +129,17 @@
     return std::max<Duration>(std::chrono::seconds(seconds) - idleMargin, Duration::zero());
 }
 
+/// @return whether a connection can carry the next request. One that is readable was closed by the upstream or holds bytes that
+///         belong to no request.
+bool isOpenAndEmpty(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 /// A request that is being written. Shared with the handler of the write, because the response may arrive before the write
 /// has ended.
 struct PendingWrite
@@ -152,7 +176,7 @@
     const ScopeGuard finished([&call] {
         call.abort = nullptr;
     });
-    auto acquired = co_await this->acquireConnection(deadline);
+    auto acquired = co_await this->acquireConnection(requestId, deadline);
     if (!acquired.ok()) {
         co_return acquired.status();
     }
@@ -186,11 +210,17 @@
     if (absl::Status status = this->checkResponse(*reader, buffer.size(), requestId); !status.ok()) {
         co_return status;
     }
-    const bool isReusable = reader->keep_alive() && !reader->need_eof() && buffer.size() == 0 && pendingWrite->done && !pendingWrite->error;
+    bool isReusable = reader->keep_alive() && !reader->need_eof() && buffer.size() == 0 && pendingWrite->done && !pendingWrite->error;
+    if (!isSuccess(reader->get().result_int())) {
+        const bool hasEcho = reader->get().count(this->limits.requestIdField) != 0;
+        isReusable = isReusable && hasEcho && connection->failedRequests.size() < failedRequestLimit;
+        connection->failedRequests.push_back(hashOf(requestId));
+    }
     http::response<http::string_body> beastResponse = reader->release();
     if (isReusable) {
         const Duration idleLimit = std::min(this->limits.idleTimeout, idleLimitOf(beastResponse));
-        this->pushIdle(std::make_unique<Connection>(Connection{std::move(stream), NodeClock::now(), idleLimit}));
+        this->pushIdle(std::make_unique<Connection>(
+            Connection{std::move(stream), NodeClock::now(), idleLimit, std::move(connection->failedRequests)}));
     }
     co_return fromBeast(beastResponse);
 }
@@ -217,7 +247,7 @@
                 co_return http::error::body_limit;
             }
         }
-        const bool isStale = this->limits.alwaysEchoesId && !reader->need_eof() && !this->matchesRequest(*reader, requestId);
+        const bool isStale = this->limits.alwaysEchoesId && !reader->need_eof() && this->echoesOtherId(*reader, requestId);
         if (!isInterim(reader->get().result_int()) && !isStale) {
             co_return beast::error_code();
         }
@@ -226,22 +256,27 @@
     co_return http::error::bad_status;
 }
 
-bool UpstreamPool::matchesRequest(const Reader &reader, std::string_view requestId) const
+bool UpstreamPool::echoesOtherId(const Reader &reader, std::string_view requestId) const
 {
-    const auto echo = reader.get().find(this->limits.requestIdField);
-    if (echo == reader.get().end()) {
-        return true;
+    if (reader.get().count(this->limits.requestIdField) != 1) {
+        return false;
     }
-    return std::string_view(echo->value().data(), echo->value().size()) == requestId;
+    const auto echo = reader.get()[this->limits.requestIdField];
+    return std::string_view(echo.data(), echo.size()) != requestId;
 }
 
 absl::Status UpstreamPool::checkResponse(const Reader &reader, std::size_t bytesAfter, std::string_view requestId) const
 {
-    if (!this->matchesRequest(reader, requestId)) {
+    if (this->echoesOtherId(reader, requestId)) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes the id of another request");
     }
+    const std::size_t echoCount = reader.get().count(this->limits.requestIdField);
+    if (echoCount > 1) {
+        return makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes more than one id");
+    }
     if (this->limits.alwaysEchoesId) {
-        return absl::OkStatus();
+        const bool isIdentified = echoCount == 1 || requestId.empty();
+        return isIdentified ? absl::OkStatus() : makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes no id");
     }
     // Without a length the body ends with the connection, so a truncated body cannot be told from a complete one.
     if (reader.need_eof()) {
@@ -253,9 +288,10 @@
     return absl::OkStatus();
 }
 
-asio::awaitable<absl::StatusOr<std::unique_ptr<UpstreamPool::Connection>>> UpstreamPool::acquireConnection(TimePoint deadline)
+asio::awaitable<absl::StatusOr<std::unique_ptr<UpstreamPool::Connection>>> UpstreamPool::acquireConnection(std::string_view requestId,
+                                                                                                           TimePoint deadline)
 {
-    if (auto connection = this->popIdle()) {
+    if (auto connection = this->popIdle(requestId)) {
         co_return connection;
     }
     auto connection = std::make_unique<Connection>(Connection{beast::tcp_stream(this->executor), TimePoint(), this->limits.idleTimeout});
@@ -270,19 +306,17 @@
     co_return connection;
 }
 
-std::unique_ptr<UpstreamPool::Connection> UpstreamPool::popIdle()
+std::unique_ptr<UpstreamPool::Connection> UpstreamPool::popIdle(std::string_view requestId)
 {
-    while (!this->idle.empty()) {
-        std::unique_ptr<Connection> connection = std::move(this->idle.back());
-        this->idle.pop_back();
-        // An idle connection that is readable was closed by the upstream or holds bytes that belong to no request.
-        asio::ip::tcp::socket &socket = connection->stream.socket();
-        boost::system::error_code error;
-        char byte = 0;
-        socket.non_blocking(true, error);
-        socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-        const bool isOpenAndEmpty = error == asio::error::would_block;
-        if (isOpenAndEmpty && NodeClock::now() - connection->idleSince < connection->idleLimit) {
+    const std::size_t id = hashOf(requestId);
+    for (std::size_t i = this->idle.size(); i-- > 0;) {
+        const std::vector<std::size_t> &failed = this->idle[i]->failedRequests;
+        if (std::ranges::find(failed, id) != failed.end()) {
+            continue;
+        }
+        std::unique_ptr<Connection> connection = std::move(this->idle[i]);
+        this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (isOpenAndEmpty(connection->stream.socket()) && NodeClock::now() - connection->idleSince < connection->idleLimit) {
             return connection;
         }
     }
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -49,6 +49,10 @@
 /// A connection is reused only after a response that was complete, matched its request and left the connection open.
 /// After a time-out, a cancellation or a truncated response it is closed, so that a late response cannot be taken for the
 /// response to another request.
+///
+/// An upstream may send a second copy of a response later. The id tells a copy from the response to another request, but not
+/// from the response to the same request sent again. A request that failed or was rejected on a connection is therefore sent
+/// again only on another one, and a connection is closed after an error response that echoes no id.
 class UpstreamPool
 {
 public:
@@ -71,11 +75,12 @@
         boost::beast::tcp_stream stream;
         TimePoint idleSince; ///< Time of the last response.
         Duration idleLimit; ///< Longest idle time after which the connection is reused; shorter than the upstream's own.
+        std::vector<std::size_t> failedRequests{}; ///< Hashes of the ids of the requests that got an error response here.
     };
 
     using Reader = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-    boost::asio::awaitable<absl::StatusOr<std::unique_ptr<Connection>>> acquireConnection(TimePoint deadline);
+    boost::asio::awaitable<absl::StatusOr<std::unique_ptr<Connection>>> acquireConnection(std::string_view requestId, TimePoint deadline);
     /// Reads messages until the response to the request is complete. The reservation follows the bytes that are held.
     boost::asio::awaitable<boost::beast::error_code> readResponse(Connection &connection,
                                                                   ByteReservation &reservation,
@@ -84,8 +89,12 @@
                                                                   const PeerRequest &request,
                                                                   std::string_view requestId) const;
     absl::Status checkResponse(const Reader &reader, std::size_t bytesAfter, std::string_view requestId) const;
-    bool matchesRequest(const Reader &reader, std::string_view requestId) const;
-    std::unique_ptr<Connection> popIdle();
+    /// @return whether the response echoes exactly one id, and it is that of another request
+    bool echoesOtherId(const Reader &reader, std::string_view requestId) const;
+
+    /// Closes the connections that it finds to have expired or to hold unread bytes.
+    /// @return the idle connection that was used last among those on which the request has not failed before, or null
+    std::unique_ptr<Connection> popIdle(std::string_view requestId);
     void pushIdle(std::unique_ptr<Connection> connection);
 
     boost::asio::any_io_executor executor;
--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST_SUITE(PlatformTest);
     CPPUNIT_TEST(servesThroughHomes);
     CPPUNIT_TEST(retriesOnlyWhenSafe);
+    CPPUNIT_TEST(copyOfRejectionIsNotTakenForTheNextTry);
     CPPUNIT_TEST(appliesRegistryChanges);
     CPPUNIT_TEST(limitsCallsForFrequentChanges);
     CPPUNIT_TEST(usesRecoveredUpstream);
@@ -220,6 +221,32 @@
         }
     }
 
+    /// Guards against a request that is reported as not run, or sent to a second upstream, while an upstream is running it: the
+    /// upstream rejected it before and sends that rejection again when the request returns on the same connection.
+    void copyOfRejectionIsNotTakenForTheNextTry()
+    {
+        const struct
+        {
+            const char *method;
+            const char *target;
+        } table[] = {{"GET", "/read/x"}, {"POST", "/write/x"}};
+        PlatformFleet fleet(nodeCount);
+        startAll(fleet);
+        for (const auto &upstream : fleet.upstreams) {
+            upstream->behaviour.rejectsFirstArrivals = true;
+            upstream->behaviour.repeatsRejections = true;
+        }
+        for (const auto &row : table) {
+            for (unsigned node = 0; node < nodeCount; ++node) {
+                const std::string id = row.method + std::to_string(node);
+                const CallResult result = sendAndWait(fleet, node, row.method, row.target, id);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200U, result.status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, "ran " + id, result.body);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 1U, fleet.runCount(id));
+            }
+        }
+    }
+
     /// Guards against a change in the registry that does not take effect, and against a node that answers 404 or stops serving
     /// because the registry is unreachable.
     void appliesRegistryChanges()
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr const char *requestIdField = "Request-Id";
+constexpr const char *notRunField = "Not-Executed";
 
 Json makeRoute(const std::string &name, const std::string &prefix, const std::string &kind)
 {
@@ -130,6 +131,11 @@
         return this->answer(request);
     })
 {
+    this->server.setFaultChooser([this](const HttpResponse &response, std::size_t size) {
+        this->responseBytes = size;
+        const bool isRejection = response.count(notRunField) != 0;
+        return ResponseFault{this->behaviour.repeatsRejections && isRejection, this->behaviour.sentBytes};
+    });
     this->server.open();
 }
 
@@ -151,9 +157,10 @@
         response.set("Instance-Id", this->id);
         co_return response;
     }
-    if (this->behaviour.rejects) {
+    const bool isFirstArrival = this->arrivals.insert(requestId).second;
+    if (this->behaviour.rejects || (this->behaviour.rejectsFirstArrivals && isFirstArrival)) {
         HttpResponse response = withId(503, "");
-        response.set("Not-Executed", "1");
+        response.set(notRunField, "1");
         co_return response;
     }
     ++this->runs[requestId];
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -12,6 +12,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,7 +70,10 @@
     std::chrono::milliseconds processingTime{20}; ///< Time between receipt of a request and its response.
     unsigned status = 200; ///< HTTP status of the responses.
     bool rejects = false; ///< Whether it rejects requests with Not-Executed, without running them.
+    bool rejectsFirstArrivals = false; ///< Whether it rejects the first arrival of each request with Not-Executed.
+    bool repeatsRejections = false; ///< Whether a second copy of a rejection precedes the next response on its connection.
     bool dropsResponses = false; ///< Whether it runs requests and closes the connection before the response.
+    std::optional<std::size_t> sentBytes{}; ///< Number of bytes of each response that it sends before it closes the connection.
 };
 
 /// In-process stand-in for an upstream that uses the platform's protocol and counts the requests that it runs.
@@ -86,6 +91,7 @@
     UpstreamBehaviour behaviour;
     std::int64_t startTimeMs = 1; ///< Start time of the upstream process in its registry entry, in milliseconds.
     std::map<std::string, unsigned> runs; ///< Number of runs, by request id.
+    std::size_t responseBytes = 0; ///< Size of the last complete response, header included.
     std::map<std::string, std::string> callerServices; ///< Value of Caller-Service, by request id.
     const std::string id;
 
@@ -93,6 +99,7 @@
     boost::asio::awaitable<StandIns::HttpResponse> answer(const StandIns::HttpRequest &request);
 
     boost::asio::io_context &context;
+    std::set<std::string> arrivals; ///< Ids of the requests that have arrived.
     StandIns::HttpServer server;
 };
 
--- a/standins/common/httpserver.cpp
+++ b/standins/common/httpserver.cpp
@@ -4,11 +4,15 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sstream>
+#include <utility>
+
 namespace Galenarack::StandIns {
 
 namespace asio = boost::asio;
@@ -19,6 +23,14 @@
 constexpr std::size_t bodyLimit = std::size_t(8) << 20;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+/// @return the response as it is sent
+std::string toText(const HttpResponse &response)
+{
+    std::ostringstream text;
+    text << response;
+    return text.str();
+}
+
 } // namespace
 
 HttpServer::HttpServer(asio::io_context &context, Tcp::endpoint endpoint, Handler handler)
@@ -63,6 +75,7 @@
     boost::system::error_code ignored;
     socket->set_option(Tcp::no_delay(true), ignored);
     boost::beast::flat_buffer buffer;
+    std::string copy; // Second copy of an earlier response, not sent yet.
     while (true) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(bodyLimit);
@@ -72,8 +85,11 @@
         }
         const HttpRequest request = parser.release();
         const HttpResponse response = co_await this->handler(request);
-        const auto [writeError, bytesWritten] = co_await http::async_write(*socket, response, asTuple);
-        if (writeError || !response.keep_alive()) {
+        const std::string text = toText(response);
+        const ResponseFault fault = this->chooseFault ? this->chooseFault(response, text.size()) : ResponseFault();
+        const std::string bytes = std::exchange(copy, fault.isRepeated ? text : "") + text.substr(0, fault.sentBytes.value_or(text.size()));
+        const auto [writeError, bytesWritten] = co_await asio::async_write(*socket, asio::buffer(bytes), asTuple);
+        if (writeError || fault.sentBytes || !response.keep_alive()) {
             break;
         }
     }
--- a/standins/common/httpserver.h
+++ b/standins/common/httpserver.h
@@ -14,11 +14,19 @@
 
 namespace Galenarack::StandIns {
 
+/// Fault in the transmission of one response.
+struct ResponseFault
+{
+    bool isRepeated = false; ///< Whether a second copy precedes the next response on the same connection.
+    std::optional<std::size_t> sentBytes{}; ///< Number of bytes that are sent before the connection is closed.
+};
+
 /// HTTP/1.1 server with keep-alive that passes every request to one handler.
 class HttpServer
 {
 public:
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest &)>;
+    using FaultChooser = std::function<ResponseFault(const HttpResponse &, std::size_t size)>; ///< `size` is in bytes, header included.
 
     /// @param endpoint address to listen on; port 0 selects a free port, which is kept across close() and open()
     HttpServer(boost::asio::io_context &context, Tcp::endpoint endpoint, Handler handler);
@@ -30,6 +38,12 @@
     /// Stops listening and closes every connection; further connection attempts are refused.
     void close();
 
+    /// Sets the function that is called for each response before it is sent.
+    void setFaultChooser(FaultChooser chooser)
+    {
+        this->chooseFault = std::move(chooser);
+    }
+
     /// @return the listening address with the port in use; valid after the first open()
     const Tcp::endpoint &address() const
     {
@@ -45,6 +59,7 @@
     boost::asio::io_context &context;
     Tcp::endpoint endpoint;
     Handler handler;
+    FaultChooser chooseFault; ///< Empty when all responses are sent without a fault.
     std::shared_ptr<Tcp::acceptor> acceptor;
     std::set<SocketPointer> connections;
 };
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -34,6 +34,7 @@
     std::string response;
     After after = After::Keep;
     std::string part{}; ///< Bytes that are repeated with After::Endless.
+    std::string lateCopy{}; ///< Bytes that precede the next response on the same connection.
 };
 
 /// An upstream that responds to the first request by a script and to all others with a complete response.
@@ -74,6 +75,7 @@
     asio::awaitable<void> serve(tcp::socket socket)
     {
         std::string buffer;
+        std::string lateCopy;
         for (;;) {
             const auto [error, length] = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", awaitTuple);
             if (error) {
@@ -82,7 +84,8 @@
             this->lastRequest = buffer.substr(0, length);
             buffer.clear();
             const Script now = std::exchange(this->script, this->following);
-            co_await asio::async_write(socket, asio::buffer(now.response), awaitTuple);
+            const std::string bytes = std::exchange(lateCopy, now.lateCopy) + now.response;
+            co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
             for (bool isOpen = now.after == After::Endless; isOpen; this->endlessBytes += now.part.size()) {
                 isOpen = !std::get<0>(co_await asio::async_write(socket, asio::buffer(now.part), awaitTuple));
                 this->endlessClosed = !isOpen;
@@ -130,11 +133,12 @@
     return limits;
 }
 
-absl::StatusOr<PeerResponse> sendRequest(asio::io_context &context, UpstreamPool &pool, Duration timeout, HeaderList headers = {})
+absl::StatusOr<PeerResponse> sendRequest(
+    asio::io_context &context, UpstreamPool &pool, Duration timeout, HeaderList headers = {}, std::string_view id = requestId)
 {
     const PeerRequest request{"GET", "/records/1", std::move(headers), ""};
     UpstreamCall call;
-    return runTask(context, pool.request(request, requestId, NodeClock::now() + timeout, call));
+    return runTask(context, pool.request(request, id, NodeClock::now() + timeout, call));
 }
 
 const std::vector<Case> &cases()
@@ -188,6 +192,8 @@
     CPPUNIT_TEST(connectionFieldsAreNotForwarded);
     CPPUNIT_TEST(requestAbortedDuringConnectIsNotSent);
     CPPUNIT_TEST(lateCopyIsNotTakenForTheNextResponse);
+    CPPUNIT_TEST(lateCopyOfRejectionIsNotTakenForTheNextTry);
+    CPPUNIT_TEST(responseWithOtherEchoesIsInvalid);
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
@@ -298,6 +304,76 @@
         }
     }
 
+    /// Guards against a second copy of a rejection that arrives when the same request has been sent again, and that reports as not
+    /// run what the upstream is running. Without an echo, the copy can't be told from the response to any other request either.
+    void lateCopyOfRejectionIsNotTakenForTheNextTry()
+    {
+        const std::string own = "galenarack-request-id: " + std::string(requestId) + "\r\n";
+        const std::string rejected = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+        const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+        const struct
+        {
+            const char *name;
+            std::string echo; ///< Header field with which the upstream echoes the id.
+            bool alwaysEchoesId;
+            std::string_view secondId; ///< Id of the second request.
+            int connections; ///< Expected number of connections.
+        } table[] = {
+            {"same request, id echoed always", own, true, requestId, 2},
+            {"same request, id echoed", own, false, requestId, 2},
+            {"same request, no echo", "", false, requestId, 2},
+            {"other request, no echo", "", false, "000000000000feed0000000000000008", 2},
+            {"other request without an id", "", true, "", 2},
+            {"other request, id echoed always", own, true, "000000000000feed0000000000000008", 1},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            const std::string rejection = rejected + row.echo + "\r\n";
+            ScriptedUpstream upstream(context, {.response = rejection, .lateCopy = rejection});
+            const std::string secondEcho = row.echo.empty() ? "" : "galenarack-request-id: " + std::string(row.secondId) + "\r\n";
+            upstream.following = {ok + secondEcho + "\r\nok"};
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = row.alwaysEchoesId;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const std::string_view firstId = row.secondId.empty() ? "" : requestId;
+            const auto first = sendRequest(context, pool, testTimeout, {}, firstId);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 503U, first->status);
+            const auto second = sendRequest(context, pool, testTimeout, {}, row.secondId);
+            CPPUNIT_ASSERT_MESSAGE(row.name, second.ok());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 200U, second->status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.connections, upstream.connections);
+        }
+    }
+
+    /// Guards against a response whose id can't be established and that is taken for the response to the request: from an upstream
+    /// that echoes each id, it belongs to another one.
+    void responseWithOtherEchoesIsInvalid()
+    {
+        const std::string own = "galenarack-request-id: " + std::string(requestId) + "\r\n";
+        const std::string other = "galenarack-request-id: 000000000000feed0000000000000008\r\n";
+        const std::string rejected = "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+        const struct
+        {
+            const char *name;
+            std::string response;
+        } table[] = {
+            {"no id", rejected + "\r\n"},
+            {"two ids, the own one last", rejected + other + own + "\r\n"},
+            {"two ids, the own one first", rejected + own + other + "\r\n"},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, {row.response});
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const auto response = sendRequest(context, pool, testTimeout);
+            CPPUNIT_ASSERT_MESSAGE(row.name, !response.ok());
+            const std::string seen(errorRow(errorKindOf(response.status())).name);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name), seen);
+        }
+    }
+
     /// Guards against a response that broke off halfway and is passed on as a complete one: without a length, only the regular end
     /// of the connection completes it.
     void responseWithoutLengthIsCompleteOnlyAtTheEnd()
