Defer removals only after an outage of the registry

Cause: RegistryFollower deferred all removals for 2.5 s after each lost contact, took a cut watch for one, and each cut began the time anew; 2.5 s are longer than drain-ms. Evidence: the node had read the revision of the removal 0.2 s after the cut and logged 'upstream removed' 6.4 s later, 2.5 s after the last cut.

Change: a cut or lost watch is an outage only if a probe or the next call fails too. The time of a deferred removal is fixed when it is read, 2.2 s at most. During an outage the node probes (a tenth of a call) and reads when that succeeds.

Why it works: the entry of a running upstream expires after three missed check-ins, so it takes an outage of 3 s; a probe notices one after 2.75 s.

--- a/galenarack/fleet/followersettings.h
+++ b/galenarack/fleet/followersettings.h
@@ -34,7 +34,7 @@
     Duration retryMax = std::chrono::seconds(1); ///< Upper limit of the back-off.
     /// How long removals are deferred after an outage of the registry. Entries that expired while it was unavailable are written
     /// again within about two seconds of its return.
-    Duration removalHoldTime = std::chrono::milliseconds(2500);
+    Duration removalHoldTime = std::chrono::milliseconds(2200);
 };
 
 } // namespace Galenarack
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -1,12 +1,14 @@
 #include <galenarack/fleet/registryfollower.h>
 
 #include <galenarack/core/errorkind.h>
+#include <galenarack/core/scopeguard.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace Galenarack {
 
@@ -29,20 +31,22 @@
 asio::awaitable<void> RegistryFollower::run()
 {
     using namespace asio::experimental::awaitable_operators;
-    co_await (this->follow() && this->probe());
+    co_await (this->follow() && this->probeWhileWatching());
 }
 
 asio::awaitable<void> RegistryFollower::follow()
 {
     for (;;) {
-        const bool done = this->revision != 0 ? co_await this->watchOnce() : co_await this->readAll();
+        // A probe costs a tenth of a read.
+        const bool isAvailable = !this->outage || (co_await this->probe()).ok();
+        const bool done = isAvailable && (this->revision != 0 ? co_await this->watchOnce() : co_await this->readAll());
         if (!done) {
             co_await this->backOff();
         }
     }
 }
 
-asio::awaitable<void> RegistryFollower::probe()
+asio::awaitable<void> RegistryFollower::probeWhileWatching()
 {
     for (;;) {
         const TimePoint start = NodeClock::now();
@@ -52,26 +56,40 @@
             co_await this->probeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        const absl::Status status = co_await this->client.probe();
+        const absl::Status status = co_await this->probe();
         if (status.ok()) {
             this->lastReply = NodeClock::now();
         } else if (this->watching && this->lastReply < start) {
             this->log.warn("registry does not answer", {{"reason", messageOf(status)}});
+            this->outage = true;
+            this->watching = false;
             this->client.abortWatch();
         }
     }
 }
 
+asio::awaitable<absl::Status> RegistryFollower::probe()
+{
+    if (this->probing) {
+        co_return makeError(ErrorKind::PeerUnreachable, "a probe is in progress");
+    }
+    this->probing = true;
+    const ScopeGuard finished([this] {
+        this->probing = false;
+    });
+    co_return co_await this->client.probe();
+}
+
 asio::awaitable<bool> RegistryFollower::readAll()
 {
     const auto entries = co_await this->client.readEntries();
     if (!entries.ok()) {
-        this->onCallFailed(messageOf(entries.status()));
+        this->onCallFailed(entries.status(), false);
         co_return false;
     }
     const auto config = co_await this->client.readConfig();
     if (!config.ok()) {
-        this->onCallFailed(messageOf(config.status()));
+        this->onCallFailed(config.status(), false);
         co_return false;
     }
     this->onCallSucceeded();
@@ -86,7 +104,7 @@
     std::ranges::sort(listedIds);
     for (const auto &[id, entry] : this->view.entries()) {
         if (!std::ranges::binary_search(listedIds, id)) {
-            this->heldRemovals.try_emplace(id, entries->revision);
+            this->deferRemoval(id, entries->revision);
         }
     }
     this->applyHeldRemovals(NodeClock::now());
@@ -98,13 +116,11 @@
 asio::awaitable<bool> RegistryFollower::watchOnce()
 {
     const TimePoint now = NodeClock::now();
-    this->applyHeldRemovals(now);
-    const Duration wait = this->heldRemovals.empty() ? this->settings.watchWait : std::max(this->holdRemovalsUntil - now, Duration(1000));
     this->watching = true;
-    const auto read = co_await this->client.watch(this->revision, std::min(wait, this->settings.watchWait));
+    const auto read = co_await this->client.watch(this->revision, this->nextWatchWait(now));
     this->watching = false;
     if (!read.ok()) {
-        this->onCallFailed(messageOf(read.status()));
+        this->onCallFailed(read.status(), true);
         // Changes since this revision may no longer be in the registry's history, and a new watch would not reveal that.
         this->revision = 0;
         co_return false;
@@ -128,11 +144,12 @@
 
 namespace {
 
-/// Visitor that applies one registry change to a view. Removals are only recorded, since they may have to be deferred.
+/// Visitor that applies one registry change to a view.
 struct ChangeApplier
 {
     FleetView &view;
-    std::map<std::string, std::uint64_t, std::less<>> &removals;
+    std::function<void(const UpstreamEntry &)> onWritten;
+    std::function<void(const Platform::EntryRemoved &)> onRemoved;
     const Log &log;
 
     void operator()(const std::shared_ptr<const TrafficConfig> &config) const
@@ -141,12 +158,12 @@
     }
     void operator()(const UpstreamEntry &entry) const
     {
-        this->removals.erase(entry.id);
+        this->onWritten(entry);
         this->view.applyEntry(entry, NodeClock::now());
     }
     void operator()(const Platform::EntryRemoved &removed) const
     {
-        this->removals[removed.id] = removed.revision;
+        this->onRemoved(removed);
     }
     void operator()(const Platform::ItemInvalid &invalid) const
     {
@@ -159,29 +176,65 @@
 
 void RegistryFollower::applyChanges(const Platform::RegistryRead &read)
 {
+    const ChangeApplier applier{this->view,
+                                [this](const UpstreamEntry &entry) {
+                                    this->heldRemovals.erase(entry.id);
+                                },
+                                [this](const Platform::EntryRemoved &removed) {
+                                    this->deferRemoval(removed.id, removed.revision);
+                                },
+                                this->log};
     for (const Platform::RegistryChange &change : read.changes) {
-        std::visit(ChangeApplier{this->view, this->heldRemovals, this->log}, change);
+        std::visit(applier, change);
     }
     this->applyHeldRemovals(NodeClock::now());
 }
 
-void RegistryFollower::applyHeldRemovals(TimePoint now)
+void RegistryFollower::deferRemoval(std::string_view id, std::uint64_t revision)
 {
-    if (now < this->holdRemovalsUntil) {
-        return;
+    // A later outage does not extend the deferral: the entry has been missing since before.
+    const bool isNew = this->heldRemovals.try_emplace(std::string(id), HeldRemoval{revision, this->holdRemovalsUntil}).second;
+    const Duration wait = this->holdRemovalsUntil - NodeClock::now();
+    if (isNew && wait > Duration::zero() && this->view.find(id) != nullptr) {
+        this->log.info("removal deferred",
+                       {{"upstream", id}, {"revision", static_cast<std::int64_t>(revision)}, {"wait_ms", toMilliseconds(TimePoint(wait))}});
     }
-    for (const auto &[id, removalRevision] : this->heldRemovals) {
-        this->view.removeEntry(id, removalRevision);
+}
+
+void RegistryFollower::applyHeldRemovals(TimePoint now)
+{
+    std::erase_if(this->heldRemovals, [this, now](const auto &held) {
+        const auto &[id, removal] = held;
+        if (removal.due > now) {
+            return false;
+        }
+        this->view.removeEntry(id, removal.revision);
+        return true;
+    });
+}
+
+Duration RegistryFollower::nextWatchWait(TimePoint now) const
+{
+    constexpr Duration minWait = std::chrono::milliseconds(1);
+    Duration wait = this->settings.watchWait;
+    for (const auto &[id, removal] : this->heldRemovals) {
+        wait = std::min(wait, std::max<Duration>(removal.due - now, minWait));
     }
-    this->heldRemovals.clear();
+    return wait;
 }
 
-void RegistryFollower::onCallFailed(std::string_view reason)
+void RegistryFollower::onCallFailed(const absl::Status &error, bool isWatch)
 {
+    // A registry that is restarted cuts its watches, and the reply to a watch may be lost. Either way the registry was unavailable only
+    // if a probe or the next call fails too.
+    const ErrorKind kind = errorKindOf(error);
+    const bool isWatchLost = isWatch && this->contact && (kind == ErrorKind::PeerLost || kind == ErrorKind::Timeout);
+    this->outage = this->outage || !isWatchLost;
     if (this->contact || this->consecutiveFailures == 0) {
         this->log.warn("registry lost",
-                       {{"reason", reason},
+                       {{"reason", messageOf(error)},
                         {"revision", static_cast<std::int64_t>(this->revision)},
+                        {"outage", this->outage ? "yes" : "no"},
                         {"last_reply_ms", toMilliseconds(TimePoint(NodeClock::now() - this->lastReply))}});
     }
     this->contact = false;
@@ -189,14 +242,17 @@
 
 void RegistryFollower::onCallSucceeded()
 {
+    const TimePoint now = NodeClock::now();
     if (!this->contact) {
-        this->log.info("registry reached", {{"failures", static_cast<std::int64_t>(this->consecutiveFailures)}});
-        if (this->synchronized) {
-            this->holdRemovalsUntil = NodeClock::now() + this->settings.removalHoldTime;
+        this->log.info("registry reached",
+                       {{"failures", static_cast<std::int64_t>(this->consecutiveFailures)}, {"outage", this->outage ? "yes" : "no"}});
+        if (this->synchronized && this->outage) {
+            this->holdRemovalsUntil = now + this->settings.removalHoldTime;
         }
     }
     this->contact = true;
-    this->lastReply = NodeClock::now();
+    this->outage = false;
+    this->lastReply = now;
     this->consecutiveFailures = 0;
 }
 
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -17,6 +17,9 @@
 
 /// Keeps a FleetView up to date with the registry: reads it completely, then watches for changes. It reads the registry
 /// completely again after a failed watch and after a gap in the registry's history.
+///
+/// After an outage of the registry, removals are deferred, since entries of running upstreams may have expired meanwhile. A watch
+/// that is cut or not answered is no outage when probes were answered and the next call succeeds.
 class RegistryFollower
 {
 public:
@@ -44,16 +47,29 @@
 private:
     boost::asio::awaitable<void> follow();
     /// Probes the registry while a watch is open, and ends the watch when the registry does not answer.
-    boost::asio::awaitable<void> probe();
+    boost::asio::awaitable<void> probeWhileWatching();
+    /// @return OK when the registry answers; fails while another probe is in progress, since only one may be
+    boost::asio::awaitable<absl::Status> probe();
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> pause(Duration time);
     boost::asio::awaitable<void> backOff();
     void applyChanges(const Platform::RegistryRead &read);
     void applyHeldRemovals(TimePoint now);
-    void onCallFailed(std::string_view reason);
+    void deferRemoval(std::string_view id, std::uint64_t revision);
+    /// @return longest time that the next watch may be held, so that deferred removals are applied when they are due
+    Duration nextWatchWait(TimePoint now) const;
+    /// @param isWatch whether the failed call is a watch
+    void onCallFailed(const absl::Status &error, bool isWatch);
     void onCallSucceeded();
 
+    /// Removal of an upstream that has been read from the registry, but not applied to the view yet.
+    struct HeldRemoval
+    {
+        std::uint64_t revision = 0; ///< Registry revision of the removal.
+        TimePoint due; ///< When it is applied, unless the entry has been written again.
+    };
+
     Platform::RegistryClient &client;
     FleetView &view;
     FollowerSettings settings;
@@ -64,11 +80,13 @@
     bool synchronized = false;
     bool contact = false;
     bool watching = false; ///< Whether a watch is in progress.
+    bool probing = false; ///< Whether a probe is in progress.
+    bool outage = false; ///< Whether the registry has been unavailable since the last successful call.
     TimePoint lastReply; ///< Time of the last successful call.
     unsigned consecutiveFailures = 0;
     unsigned busyWatchCount = 0; ///< Consecutive watches that found changes waiting.
-    TimePoint holdRemovalsUntil; ///< Removals are deferred until this time.
-    std::map<std::string, std::uint64_t, std::less<>> heldRemovals; ///< Registry revision of each deferred removal, by upstream.
+    TimePoint holdRemovalsUntil; ///< Removals that are read before this time are deferred until then.
+    std::map<std::string, HeldRemoval, std::less<>> heldRemovals; ///< Deferred removals by upstream.
     Log log{"registry"};
 };
 
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -335,6 +335,18 @@
         programPath("galenarackd"), arguments, this->folder.path() / ("node-" + std::to_string(node) + ".log"));
 }
 
+bool PlatformFleet::startAll()
+{
+    for (unsigned node = 0; node < this->nodeCount; ++node) {
+        this->startNode(node);
+    }
+    bool isReady = true;
+    for (unsigned node = 0; node < this->nodeCount; ++node) {
+        isReady = isReady && this->waitUntilReady(node);
+    }
+    return isReady;
+}
+
 bool PlatformFleet::waitUntilReady(unsigned node)
 {
     const Tcp::endpoint address(asio::ip::make_address(this->vmAddress(node)), static_cast<std::uint16_t>(this->basePort + 2));
@@ -362,22 +374,44 @@
     return false;
 }
 
+Tcp::endpoint PlatformFleet::callerAddress(unsigned node, bool isDirect) const
+{
+    return isDirect ? parseEndpoint(this->directAddress(node, 0))
+                    : Tcp::endpoint(asio::ip::make_address(this->vmAddress(node)), this->basePort);
+}
+
 asio::awaitable<CallResult> PlatformFleet::send(
     unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
-    co_return co_await this->sendTo({asio::ip::make_address(this->vmAddress(node)), this->basePort}, method, target, id, timeout);
+    HttpClient client(this->context, this->callerAddress(node, false));
+    co_return co_await this->sendThrough(client, method, target, id, timeout);
+}
+
+CallResult PlatformFleet::sendAndWait(unsigned node, const std::string &method, const std::string &target, const std::string &id)
+{
+    std::optional<CallResult> result;
+    asio::co_spawn(
+        this->context,
+        [&]() -> asio::awaitable<void> {
+            result = co_await this->send(node, method, target, id, std::chrono::seconds(3));
+        },
+        asio::detached);
+    while (!result) {
+        this->runFor(std::chrono::milliseconds(10));
+    }
+    return *result;
 }
 
 asio::awaitable<CallResult> PlatformFleet::sendDirectly(
     unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
-    co_return co_await this->sendTo(parseEndpoint(this->directAddress(node, 0)), method, target, id, timeout);
+    HttpClient client(this->context, this->callerAddress(node, true));
+    co_return co_await this->sendThrough(client, method, target, id, timeout);
 }
 
-asio::awaitable<CallResult> PlatformFleet::sendTo(
-    const Tcp::endpoint &address, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
+asio::awaitable<CallResult> PlatformFleet::sendThrough(
+    HttpClient &client, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
-    HttpClient client(this->context, address);
     HttpRequest request(boost::beast::http::string_to_verb(method), target, 11);
     request.set(boost::beast::http::field::host, "fleet.example");
     request.set(requestIdField, id);
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -155,6 +155,10 @@
     /// Starts a process of a node. It replaces the previous process of the node, which is killed if it still runs.
     void startNode(unsigned node);
 
+    /// Starts all nodes and waits until they are ready.
+    /// @return false when waitUntilReady() fails for a node
+    bool startAll();
+
     /// Polls `/readyz` of the node until it reports ready.
     /// @return false when the node is not ready after 200 attempts, which take 20 s or more
     bool waitUntilReady(unsigned node);
@@ -165,11 +169,21 @@
     boost::asio::awaitable<CallResult> send(
         unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
 
+    /// Like send(), but runs the event loop until the request has ended. The deadline is 3 s.
+    CallResult sendAndWait(unsigned node, const std::string &method, const std::string &target, const std::string &id);
+
     /// Like send(), on a new connection to the process of the node itself, without the relay for callers. A connection that the
     /// process has not accepted fails.
     boost::asio::awaitable<CallResult> sendDirectly(
         unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
 
+    /// Like send(), through a client that keeps its connections for further requests.
+    boost::asio::awaitable<CallResult> sendThrough(
+        StandIns::HttpClient &client, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
+
+    /// @return address at which a node accepts callers, behind the relay or that of the process itself
+    StandIns::Tcp::endpoint callerAddress(unsigned node, bool isDirect) const;
+
     /// Applies a fault to a path of a node, for existing connections and, unless `existingOnly`, for new ones.
     void setPathFault(unsigned node, Path path, const StandIns::PathFault &fault, bool existingOnly);
 
@@ -205,9 +219,6 @@
     /// @return IPv4 address of the VM of a node
     std::string vmAddress(unsigned node) const;
 
-    boost::asio::awaitable<CallResult> sendTo(
-        const StandIns::Tcp::endpoint &address, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout);
-
     /// @return "IPv4:port" where the node listens behind the relay
     std::string directAddress(unsigned node, unsigned offset) const;
 
