Accept replies of the registry with values of the largest size

Cause: ServiceClient limited each reply to 1 MiB, the size of a value, but a reply has it in base64, and more than one item.

Change: a reply of the registry may have 8 MB. A watch above it fails, and the complete read after it has the newest values only.

Tests: RegistryTest::followsRegistryBesideOddEntries with the rows of odd values; before: 'nested lists', no starting node ready after 20 s. Odd values below the limit ended no node before either.

--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -39,6 +39,10 @@
 /// connections between nodes. A buffer that grows needs up to three times the size of its contents for a moment.
 constexpr std::size_t transitMemoryShare = 8;
 
+/// Maximum size of a reply of the registry. A value has up to 1 MB, and its encoding in a reply a third more; a watch returns
+/// all changes since the last one.
+constexpr std::size_t maxRegistryReplyBytes = std::size_t{8} * 1024 * 1024;
+
 ServiceSettings registrySettings(const Settings &settings)
 {
     ServiceSettings service;
@@ -46,6 +50,7 @@
     service.port = settings.registry->port();
     service.connectTimeout = std::chrono::seconds(1);
     service.replyTimeout = std::chrono::milliseconds(750);
+    service.maxReplyBytes = maxRegistryReplyBytes;
     // An interrupted watch may have missed changes, so the error has to reach the follower.
     service.resendsOnNewConnection = false;
     return service;
--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -17,6 +17,20 @@
 /// Time after a fault of the registry from which that bound holds again.
 constexpr auto settleTime = 3000ms;
 
+/// @return whether a node serves a route that was published before the call, within `applyTime`
+bool isServedInTime(PlatformFleet &fleet, unsigned node, const std::string &prefix)
+{
+    const auto end = std::chrono::steady_clock::now() + applyTime;
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        const std::string id = prefix + std::to_string(node) + "-" + std::to_string(i);
+        if (fleet.sendAndWait(node, "GET", prefix + "x", id).status == 200) {
+            return true;
+        }
+        fleet.runFor(50ms);
+    }
+    return false;
+}
+
 } // namespace
 
 /// How nodes follow the registry: changes, faults of the registry, and entries of other writers.
@@ -27,6 +41,7 @@
     CPPUNIT_TEST(followsChangesAfterUnansweredWatches);
     CPPUNIT_TEST(removesUpstreamsWhileWatchesAreCut);
     CPPUNIT_TEST(keepsUpstreamsThatExpireInAnOutage);
+    CPPUNIT_TEST(followsRegistryBesideOddEntries);
     CPPUNIT_TEST(limitsCallsForFrequentChanges);
     CPPUNIT_TEST(forgetsUpstreamThatLeftAcrossRestart);
     CPPUNIT_TEST_SUITE_END();
@@ -179,6 +194,72 @@
         }
     }
 
+    /// Guards against nodes that end, that never get the list or that stop following it, because another writer left an odd entry
+    /// among those of the upstreams. With pages of one entry, each key ends a page.
+    void followsRegistryBesideOddEntries()
+    {
+        constexpr std::size_t maxValueBytes = 1024 * 1024;
+        const std::string valid = R"({"service":"back","address":"127.0.1.9:1","zone":"a","version":"v1","slots":4,"state":"ready",)"
+                                  R"("cold-remaining-ms":0,"sequence":1})";
+        const auto with = [&valid](const std::string &field, const std::string &value) {
+            const std::size_t start = valid.find("\"" + field + "\":") + field.size() + 3;
+            return valid.substr(0, start) + value + valid.substr(valid.find_first_of(",}", start));
+        };
+        const struct
+        {
+            const char *name;
+            std::string key;
+            std::string value;
+        } table[] = {
+            {"nested lists", "odd", std::string(maxValueBytes, '[')},
+            {"nested objects",
+             "odd",
+             with("zone",
+                  [] {
+                      std::string nested;
+                      for (int i = 0; i < 50'000; ++i) {
+                          nested += R"({"a":)";
+                      }
+                      return nested + "1" + std::string(50'000, '}');
+                  }())},
+            {"number too large", "odd", with("slots", "1e999")},
+            {"digits without end", "odd", with("sequence", std::string(100'000, '9'))},
+            {"port out of range", "odd", with("address", "\"127.0.1.1:99999\"")},
+            {"largest value", "odd", std::string(maxValueBytes, 'x')},
+            {"no value", "odd", ""},
+            {"bytes that are no text", "odd", "\xff\xfe\x80{"},
+        };
+        for (const std::size_t pageSize : {std::size_t(500), std::size_t(1)}) {
+            PlatformFleet fleet(nodeCount);
+            fleet.registry.setPageSize(pageSize);
+            for (const auto &row : table) {
+                // Found by a node that starts, by nodes that follow the list, and by nodes that read it again.
+                const std::string context = std::string(row.name) + ", pages of " + std::to_string(pageSize);
+                const std::string key = "servers/" + row.key;
+                for (unsigned node = 1; node < nodeCount; ++node) {
+                    if (!fleet.processes[node]) {
+                        fleet.startNode(node);
+                    }
+                }
+                fleet.registry.put(key, row.value);
+                fleet.startNode(0);
+                for (unsigned node = 0; node < nodeCount; ++node) {
+                    CPPUNIT_ASSERT_MESSAGE(context, fleet.waitUntilReady(node));
+                }
+                fleet.registry.cutWatches();
+                const std::string prefix = "/p" + std::to_string(&row - table) + "/";
+                fleet.publishConfig(prefix);
+                for (unsigned node = 0; node < nodeCount; ++node) {
+                    CPPUNIT_ASSERT_MESSAGE(context, isServedInTime(fleet, node, prefix));
+                    const std::string id = prefix + std::to_string(node);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200U, fleet.sendAndWait(node, "POST", "/write/x", id).status);
+                    CPPUNIT_ASSERT_MESSAGE(context, fleet.processes[node]->isRunning());
+                }
+                fleet.registry.remove(key);
+            }
+        }
+    }
+
     /// Guards against nodes that call the registry once for each change, which exceeds its rate limit in a large fleet, and
     /// against pauses between calls that delay a configuration change too long. An entry changes every 50 ms.
     void limitsCallsForFrequentChanges()
