--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -228,6 +228,11 @@
             {"largest value", "odd", std::string(maxValueBytes, 'x')},
             {"no value", "odd", ""},
             {"bytes that are no text", "odd", "\xff\xfe\x80{"},
+            {"empty id", "", valid},
+            {"key with a space", "odd key", valid},
+            {"key with a line end", "odd\r\nX-Odd: 1", valid},
+            {"key with reserved characters", "odd&prefix=op/#%zz+", valid},
+            {"key beyond ASCII", "od\xc3\xa9", valid},
         };
         for (const std::size_t pageSize : {std::size_t(500), std::size_t(1)}) {
             PlatformFleet fleet(nodeCount);
--- a/unittests/platformdecodetest.cpp
+++ b/unittests/platformdecodetest.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <limits>
 
 using namespace Galenarack;
 using Json = nlohmann::json;
@@ -71,6 +72,7 @@
     CPPUNIT_TEST_SUITE(PlatformDecodeTest);
     CPPUNIT_TEST(decodesEntry);
     CPPUNIT_TEST(rejectsMalformedEntries);
+    CPPUNIT_TEST(rejectsOddBytes);
     CPPUNIT_TEST(decodesConfig);
     CPPUNIT_TEST(rejectsMalformedConfigs);
     CPPUNIT_TEST(decodesBounds);
@@ -188,6 +190,33 @@
                  entry = Json::array({1});
              },
              false},
+            {"port out of range",
+             [](Json &entry) {
+                 entry["address"] = "10.1.0.8:65536";
+             },
+             false},
+            {"negative port",
+             [](Json &entry) {
+                 entry["address"] = "10.1.0.8:-1";
+             },
+             false},
+            {"number above 64 bits",
+             [](Json &entry) {
+                 entry["slots"] = 1e300;
+             },
+             false},
+            {"largest unsigned number",
+             [](Json &entry) {
+                 entry["sequence"] = std::numeric_limits<std::uint64_t>::max();
+             },
+             false},
+            {"field nested too deep",
+             [](Json &entry) {
+                 for (int i = 0; i < 40; ++i) {
+                     entry["extra"] = Json::array({entry["extra"]});
+                 }
+             },
+             false},
         };
         for (const EntryCase &row : cases) {
             Json entry = validEntry();
@@ -195,6 +224,36 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, Platform::decodeEntry("i-1", entry.dump(), 1).ok());
         }
         CPPUNIT_ASSERT(!Platform::decodeEntry("i-1", "\xff\x00{", 1).ok());
+        for (const char *id : {"", "i 1", "i\n1", "i\r\nx: 1", "\xc3\xbc"}) {
+            CPPUNIT_ASSERT_MESSAGE(id, !Platform::decodeEntry(id, validEntry().dump(), 1).ok());
+        }
+    }
+
+    /// Guards against a value of another writer that ends the process or occupies a multiple of its size in memory.
+    void rejectsOddBytes()
+    {
+        constexpr std::size_t maxValueBytes = 1024 * 1024;
+        const struct
+        {
+            const char *name;
+            std::string value;
+        } table[] = {
+            {"nested lists", std::string(maxValueBytes, '[')},
+            {"nested lists, closed", std::string(maxValueBytes / 2, '[') + std::string(maxValueBytes / 2, ']')},
+            {"brackets in text", "\"" + std::string(100, '[') + "\\\"["},
+            {"number above the range of a double", R"({"slots":1e999})"},
+            {"digits without end", R"({"slots":)" + std::string(1000, '9') + "}"},
+            {"lone surrogate", R"({"service":"\ud800"})"},
+            {"zero bytes", std::string(1000, '\0')},
+        };
+        for (const auto &row : table) {
+            CPPUNIT_ASSERT_MESSAGE(row.name, !Platform::decodeEntry("i-1", row.value, 1).ok());
+            CPPUNIT_ASSERT_MESSAGE(row.name, !Platform::decodeConfig(row.value).ok());
+        }
+        // Brackets in text are no nesting.
+        Json entry = validEntry();
+        entry["extra"] = std::string(100, '[') + "\"" + std::string(100, '{');
+        CPPUNIT_ASSERT(Platform::decodeEntry("i-1", entry.dump(), 1).ok());
     }
 
     /// Guards against routes whose matching or weights differ from the operators' configuration.
