Pass over entries of unknown services at the address of a VM in use

What callers saw: while an entry whose service no configuration names had the IP address of a VM in use, requests to that VM's upstream were answered 503.

Cause: the upstream of a VM was the newest entry at its address, at its home and at the ingresses.

Change: FleetView::findOnVm() prefers entries whose service the configuration in force names. A change of the configuration counts as a change of the view, so that ingresses choose again. An entry of an unknown service is still found when it is the only one, as after a change that drops the service.

--- a/galenarack/fleet/fleetview.cpp
+++ b/galenarack/fleet/fleetview.cpp
@@ -1,5 +1,7 @@
 #include <galenarack/fleet/fleetview.h>
 
+#include <utility>
+
 namespace Galenarack {
 
 bool FleetView::applyConfig(std::shared_ptr<const TrafficConfig> config)
@@ -12,6 +14,7 @@
                     {"previous", static_cast<std::int64_t>(this->current ? this->current->version : 0)},
                     {"routes", static_cast<std::int64_t>(config->routeCount())}});
     this->current = std::move(config);
+    ++this->changes;
     return true;
 }
 
@@ -61,13 +64,17 @@
 
 const UpstreamEntry *FleetView::findOnVm(const boost::asio::ip::address &vm) const
 {
-    const UpstreamEntry *newest = nullptr;
+    // Another writer may have left an entry with this address and a service that does not exist.
+    const auto rank = [this](const UpstreamEntry &entry) {
+        return std::pair(this->current != nullptr && this->current->hasService(entry.service), entry.revision);
+    };
+    const UpstreamEntry *best = nullptr;
     for (const auto &[id, entry] : this->upstreams) {
-        if (entry.address.address() == vm && (newest == nullptr || entry.revision > newest->revision)) {
-            newest = &entry;
+        if (entry.address.address() == vm && (best == nullptr || rank(entry) > rank(*best))) {
+            best = &entry;
         }
     }
-    return newest;
+    return best;
 }
 
 } // namespace Galenarack
--- a/galenarack/fleet/fleetview.h
+++ b/galenarack/fleet/fleetview.h
@@ -50,10 +50,11 @@
     /// @return the entry of the upstream, or null when it is not registered
     const UpstreamEntry *find(std::string_view id) const;
 
-    /// @return the entry with the highest revision among those with this IP address, or null
+    /// @return the entry with the highest revision among those with this IP address, or null. Entries whose service the
+    ///         configuration in force does not name are passed over while there is another one.
     const UpstreamEntry *findOnVm(const boost::asio::ip::address &vm) const;
 
-    /// @return number of changes of the entries so far
+    /// @return number of changes of the configuration and the entries so far
     std::uint64_t generation() const
     {
         return this->changes;
--- a/galenarack/fleet/trafficconfig.cpp
+++ b/galenarack/fleet/trafficconfig.cpp
@@ -44,6 +44,11 @@
     return route == routes->second.end() ? nullptr : &*route;
 }
 
+bool TrafficConfig::hasService(std::string_view name) const
+{
+    return std::ranges::find(this->services, name, &TrafficService::name) != this->services.end();
+}
+
 std::size_t TrafficConfig::routeCount() const
 {
     std::size_t count = 0;
--- a/galenarack/fleet/trafficconfig.h
+++ b/galenarack/fleet/trafficconfig.h
@@ -65,6 +65,9 @@
     /// @return the route of the host with the longest prefix that matches the path, or null
     const TrafficRoute *find(std::string_view host, std::string_view target) const;
 
+    /// @return whether the configuration has a service of this name
+    bool hasService(std::string_view name) const;
+
     /// @return number of routes of all hosts together
     std::size_t routeCount() const;
 
--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(removesUpstreamsWhileWatchesAreCut);
     CPPUNIT_TEST(keepsUpstreamsThatExpireInAnOutage);
     CPPUNIT_TEST(followsRegistryBesideOddEntries);
+    CPPUNIT_TEST(entryOfUnknownServiceTakesNoHome);
     CPPUNIT_TEST(limitsCallsForFrequentChanges);
     CPPUNIT_TEST(forgetsUpstreamThatLeftAcrossRestart);
     CPPUNIT_TEST_SUITE_END();
@@ -265,6 +266,31 @@
         }
     }
 
+    /// Guards against an entry of another writer that takes the place of a VM's upstream at its home and at the ingresses: its
+    /// service is named by no configuration, and its address is that of the VM.
+    void entryOfUnknownServiceTakesNoHome()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        for (const unsigned node : fleet.backNodes()) {
+            const std::string address = fleet.upstreams[node]->address();
+            fleet.registry.put("servers/odd-" + std::to_string(node),
+                               R"({"service":"nosuch","address":")" + address.substr(0, address.find(':'))
+                                   + R"(:9","zone":"a","version":"v1","slots":4,"state":"ready","cold-remaining-ms":0,"sequence":1})");
+        }
+        fleet.runFor(1s);
+        for (const bool restarted : {false, true}) {
+            for (unsigned node = 0; node < nodeCount; ++node) {
+                const std::string id = std::string(restarted ? "r" : "f") + std::to_string(node);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200U, fleet.sendAndWait(node, "POST", "/write/x", id).status);
+            }
+            for (unsigned node = 0; node < nodeCount && !restarted; ++node) {
+                fleet.startNode(node);
+                CPPUNIT_ASSERT(fleet.waitUntilReady(node));
+            }
+        }
+    }
+
     /// Guards against nodes that call the registry once for each change, which exceeds its rate limit in a large fleet, and
     /// against pauses between calls that delay a configuration change too long. An entry changes every 50 ms.
     void limitsCallsForFrequentChanges()
