Stop using an upstream whose entry becomes invalid

What callers saw: an upstream whose entry changed to an unknown state, or to bytes that can't be read, was used by the nodes that followed the list, but not by those that read it whole.

Cause: a change that can't be decoded was logged and ignored when it came by a watch, and left out when it came by a read of the list. The protocol says that such an entry names no upstream.

Tests: RegistryTest::entryThatBecomesInvalidNamesNoUpstream (before: used).

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -167,6 +167,9 @@
     }
     void operator()(const Platform::ItemInvalid &invalid) const
     {
+        if (!invalid.upstreamId.empty()) {
+            this->onRemoved({invalid.upstreamId, invalid.revision});
+        }
         this->log.warn("registry item ignored",
                        {{"key", invalid.key}, {"revision", static_cast<std::int64_t>(invalid.revision)}, {"reason", invalid.reason}});
     }
--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(keepsUpstreamsThatExpireInAnOutage);
     CPPUNIT_TEST(followsRegistryBesideOddEntries);
     CPPUNIT_TEST(entryOfUnknownServiceTakesNoHome);
+    CPPUNIT_TEST(entryThatBecomesInvalidNamesNoUpstream);
     CPPUNIT_TEST(limitsCallsForFrequentChanges);
     CPPUNIT_TEST(forgetsUpstreamThatLeftAcrossRestart);
     CPPUNIT_TEST_SUITE_END();
@@ -291,6 +292,31 @@
         }
     }
 
+    /// Guards against an upstream that stays in use although its entry has become invalid, while a node that starts later does not
+    /// use it.
+    void entryThatBecomesInvalidNamesNoUpstream()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        fleet.publishEntry(1, "resting");
+        fleet.runFor(1s);
+        for (const bool restarted : {false, true}) {
+            for (unsigned node = 0; node < nodeCount; ++node) {
+                const std::string id = std::string(restarted ? "r" : "f") + std::to_string(node);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200U, fleet.sendAndWait(node, "POST", "/write/x", id).status);
+            }
+            CPPUNIT_ASSERT(fleet.upstreams[1]->runs.empty());
+            fleet.startNode(0);
+            CPPUNIT_ASSERT(fleet.waitUntilReady(0));
+        }
+        fleet.publishEntry(1, "ready");
+        fleet.runFor(1s);
+        for (int i = 0; i < 20 && fleet.upstreams[1]->runs.empty(); ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.sendAndWait(1, "POST", "/write/x", "b" + std::to_string(i)).status);
+        }
+        CPPUNIT_ASSERT(!fleet.upstreams[1]->runs.empty());
+    }
+
     /// Guards against nodes that call the registry once for each change, which exceeds its rate limit in a large fleet, and
     /// against pauses between calls that delay a configuration change too long. An entry changes every 50 ms.
     void limitsCallsForFrequentChanges()
