Test responses that end in their head with real processes

Cause: other operators saw clients get a 200 with an empty or short body when a backend stopped in the middle of its answer's head and closed.

Ruled out here: each third byte of an answer with real processes, each byte with the pool alone, with a length, chunks and none. None reached the caller as a success, and no non-idempotent request was refused or run again. A response without a length that ends regularly after its head stays complete, as the protocol has it.

Tests: PlatformTest::truncatedResponseIsNoSuccess, UpstreamPoolTest::truncatedHeadIsNoResponse.

--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(servesThroughHomes);
     CPPUNIT_TEST(retriesOnlyWhenSafe);
     CPPUNIT_TEST(copyOfRejectionIsNotTakenForTheNextTry);
+    CPPUNIT_TEST(truncatedResponseIsNoSuccess);
     CPPUNIT_TEST(usesRecoveredUpstream);
     CPPUNIT_TEST(drainsWithoutLoss);
     CPPUNIT_TEST(answersAllAcceptedRequestsBeforeItStops);
@@ -197,6 +198,36 @@
         }
     }
 
+    /// Guards against a success with an empty or short body when an upstream closes the connection at any point of its response,
+    /// its head included.
+    void truncatedResponseIsNoSuccess()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        std::size_t length = 1;
+        for (std::size_t sent = 0; sent < length; sent += 3) {
+            for (const char *method : {"GET", "POST"}) {
+                const std::string id = std::string(method) + std::to_string(sent);
+                for (const auto &upstream : fleet.upstreams) {
+                    upstream->behaviour.sentBytes = sent;
+                }
+                const CallResult result = fleet.sendAndWait(0, method, method[0] == 'G' ? "/read/x" : "/write/x", id);
+                CPPUNIT_ASSERT_MESSAGE(id, result.status >= 500);
+                CPPUNIT_ASSERT_MESSAGE(id, method[0] == 'G' || result.status != 503 || fleet.runCount(id) == 0);
+                CPPUNIT_ASSERT_MESSAGE(id, method[0] == 'G' || fleet.runCount(id) <= 1);
+                for (const auto &upstream : fleet.upstreams) {
+                    upstream->behaviour.sentBytes.reset();
+                    length = std::max(length, upstream->responseBytes);
+                }
+                // Successes in between keep the upstreams from being ejected.
+                for (int i = 0; i < 8; ++i) {
+                    fleet.sendAndWait(0, "GET", "/read/x", id + "-" + std::to_string(i));
+                }
+            }
+        }
+        CPPUNIT_ASSERT(length > 100);
+    }
+
     /// Guards against requests on connections that were accepted just before the end of a planned stop, and that are cut off
     /// without an answer. Callers that ignore the readiness keep sending on new connections until the process is gone.
     void answersAllAcceptedRequestsBeforeItStops()
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -194,6 +194,7 @@
     CPPUNIT_TEST(lateCopyIsNotTakenForTheNextResponse);
     CPPUNIT_TEST(lateCopyOfRejectionIsNotTakenForTheNextTry);
     CPPUNIT_TEST(responseWithOtherEchoesIsInvalid);
+    CPPUNIT_TEST(truncatedHeadIsNoResponse);
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
@@ -374,6 +375,36 @@
         }
     }
 
+    /// Guards against an upstream that closes the connection in the head of its response, and whose response is passed on as a
+    /// complete one with an empty or short body.
+    void truncatedHeadIsNoResponse()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\ngalenarack-request-id: " + std::string(requestId) + "\r\nServer-Seal: s\r\n";
+        const struct
+        {
+            const char *name;
+            std::string response;
+            std::size_t complete; ///< Number of bytes from which on the response is complete.
+        } table[] = {
+            {"length", head + "Content-Length: 2\r\n\r\nok", head.size() + 23},
+            {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", head.size() + 42},
+            {"up to the end of the connection", head + "\r\nok", head.size() + 2},
+        };
+        for (const auto &row : table) {
+            for (std::size_t sent = 0; sent < row.complete; ++sent) {
+                for (const After after : {After::Close, After::HalfClose}) {
+                    asio::io_context context;
+                    ScriptedUpstream upstream(context, {row.response.substr(0, sent), after});
+                    UpstreamLimits limits = smallLimits();
+                    limits.alwaysEchoesId = true;
+                    UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+                    const auto response = sendRequest(context, pool, testTimeout);
+                    CPPUNIT_ASSERT_MESSAGE(std::string(row.name) + ", " + std::to_string(sent) + " bytes", !response.ok());
+                }
+            }
+        }
+    }
+
     /// Guards against a response that broke off halfway and is passed on as a complete one: without a length, only the regular end
     /// of the connection completes it.
     void responseWithoutLengthIsCompleteOnlyAtTheEnd()
