Soak with open connections, a silent store and rejections sent twice

Change: one caller a node sends on open connections, also while a node stops as planned, until its process is gone; what an upstream ran must be answered. New faults: the store is silent, loses replies to watches or cuts them; upstreams reject the first arrival of a request and send the rejection again. GALENARACK_SOAK_NODES sets the number of nodes.

--- a/processtests/soaktest.cpp
+++ b/processtests/soaktest.cpp
@@ -17,10 +17,13 @@
 
 namespace {
 
-constexpr unsigned nodeCount = 6;
+constexpr unsigned defaultNodeCount = 6;
 constexpr auto stepCount = 24;
 constexpr auto stepDuration = 250ms;
 
+/// Pause of a caller between two requests on an open connection.
+constexpr auto keptCallerPause = 20ms;
+
 /// Longest time that the platform allows until a draining upstream receives no new work.
 constexpr auto maxDrainDelay = 2000ms;
 /// Longest time that the platform allows until a new configuration is in force at all nodes.
@@ -44,8 +47,9 @@
 class SoakRun
 {
 public:
-    explicit SoakRun(unsigned seed)
+    SoakRun(unsigned seed, unsigned nodeCount)
         : random(seed)
+        , nodeCount(nodeCount)
         , fleet(nodeCount)
     {
         for (unsigned node = 0; node < nodeCount; ++node) {
@@ -60,13 +64,17 @@
     /// @return violations found, one string each
     std::vector<std::string> run()
     {
+        for (unsigned node = 0; node < this->nodeCount; ++node) {
+            this->startKeptCaller(this->fleet.callerAddress(node, false));
+        }
         for (int step = 0; step < stepCount; ++step) {
             this->injectFault();
-            for (unsigned i = 0; i < 6; ++i) {
+            for (unsigned i = 0; i < this->nodeCount; ++i) {
                 this->sendRandomRequest();
             }
             this->fleet.runFor(stepDuration);
         }
+        this->callersStopping = true;
         this->clearAllFaults();
         this->waitForResponses();
         this->checkRuns();
@@ -94,16 +102,45 @@
     /// Starts a request to a random node, idempotent or not at random, without waiting for its end.
     void sendRandomRequest()
     {
-        const unsigned node = this->randomBelow(nodeCount);
-        const bool idempotent = this->randomBelow(2) == 0;
+        const auto address = this->fleet.callerAddress(this->randomBelow(this->nodeCount), false);
+        ++this->pendingCount;
+        asio::co_spawn(
+            this->fleet.context,
+            [this, address, idempotent = this->randomBelow(2) == 0]() -> asio::awaitable<void> {
+                StandIns::HttpClient client(this->fleet.context, address);
+                co_await this->sendRequest(client, idempotent);
+                --this->pendingCount;
+            },
+            asio::detached);
+    }
+
+    /// Sends one request and records its outcome.
+    asio::awaitable<StandIns::ExchangeEnd> sendRequest(StandIns::HttpClient &client, bool idempotent)
+    {
         const std::string id = "q" + std::to_string(this->nextId++);
+        CallResult result = co_await this->fleet.sendThrough(
+            client, idempotent ? "GET" : "POST", idempotent ? "/read/x" : "/write/x", id, std::chrono::milliseconds(2500));
+        const StandIns::ExchangeEnd end = result.end;
+        this->completedRequests[id] = CompletedRequest{idempotent, std::move(result)};
+        co_return end;
+    }
+
+    /// Starts a caller that sends requests one after the other on an open connection, whatever the readiness of the node, until
+    /// the callers stop or the address refuses connections.
+    void startKeptCaller(const StandIns::Tcp::endpoint &address)
+    {
         ++this->pendingCount;
         asio::co_spawn(
             this->fleet.context,
-            [this, node, idempotent, id]() -> asio::awaitable<void> {
-                CallResult result = co_await this->fleet.send(
-                    node, idempotent ? "GET" : "POST", idempotent ? "/read/x" : "/write/x", id, std::chrono::milliseconds(2500));
-                this->completedRequests[id] = CompletedRequest{idempotent, std::move(result)};
+            [this, address]() -> asio::awaitable<void> {
+                StandIns::HttpClient client(this->fleet.context, address);
+                asio::steady_timer timer(this->fleet.context);
+                auto end = StandIns::ExchangeEnd::Complete;
+                for (bool idempotent = true; !this->callersStopping && end != StandIns::ExchangeEnd::ConnectFailed;
+                     idempotent = !idempotent) {
+                    end = co_await this->sendRequest(client, idempotent);
+                    co_await StandIns::sleepFor(timer, keptCallerPause);
+                }
                 --this->pendingCount;
             },
             asio::detached);
@@ -112,9 +149,9 @@
     /// Injects or ends a random fault at a random node, upstream, path or the registry.
     void injectFault()
     {
-        const unsigned node = this->randomBelow(nodeCount);
+        const unsigned node = this->randomBelow(this->nodeCount);
         const auto process = this->fleet.processes[node].get();
-        switch (this->randomBelow(13)) {
+        switch (this->randomBelow(17)) {
         case 0:
             process->kill();
             this->pausedNodes.erase(node);
@@ -152,6 +189,20 @@
         case 11:
             this->fleet.publishEntry(node, this->randomBelow(2) == 0 ? "draining" : "ready");
             break;
+        case 12:
+            this->fleet.registry.cutWatches();
+            break;
+        case 13:
+            this->fleet.registry.setSilent(this->randomBelow(2) == 0);
+            break;
+        case 14:
+            this->fleet.registry.loseWatchReplies(this->randomBelow(this->nodeCount));
+            this->fleet.publishConfig("/read/");
+            break;
+        case 15:
+            this->fleet.upstreams[node]->behaviour.rejectsFirstArrivals = this->randomBelow(2) == 0;
+            this->fleet.upstreams[node]->behaviour.repeatsRejections = true;
+            break;
         default:
             this->resumePausedNodes();
             break;
@@ -188,7 +239,7 @@
 
     void clearPathFaults()
     {
-        for (unsigned node = 0; node < nodeCount; ++node) {
+        for (unsigned node = 0; node < this->nodeCount; ++node) {
             for (unsigned path = 0; path < PlatformFleet::pathCount; ++path) {
                 this->fleet.setPathFault(node, static_cast<PlatformFleet::Path>(path), {}, false);
             }
@@ -206,7 +257,7 @@
     /// Restarts nodes whose processes have ended, as the platform does.
     void restartExitedNodes()
     {
-        for (unsigned node = 0; node < nodeCount; ++node) {
+        for (unsigned node = 0; node < this->nodeCount; ++node) {
             if (!this->fleet.processes[node]->isRunning()) {
                 this->fleet.startNode(node);
             }
@@ -218,7 +269,9 @@
         this->resumePausedNodes();
         this->clearPathFaults();
         this->fleet.registry.setReachable(true);
-        for (unsigned node = 0; node < nodeCount; ++node) {
+        this->fleet.registry.setSilent(false);
+        this->fleet.registry.loseWatchReplies(0);
+        for (unsigned node = 0; node < this->nodeCount; ++node) {
             this->fleet.publishEntry(node, "ready");
         }
         for (const auto &upstream : this->fleet.upstreams) {
@@ -297,26 +350,50 @@
         }
     }
 
-    /// Checks that a node that receives SIGTERM loses none of the requests that it has read.
+    /// Checks that a node that receives SIGTERM loses none of the requests that it has read, and that callers which keep using open
+    /// connections until its process is gone lose none that an upstream has run.
     void checkPlannedStop()
     {
         this->completedRequests.clear();
-        for (unsigned i = 0; i < 4 * nodeCount; ++i) {
+        for (unsigned i = 0; i < 4 * this->nodeCount; ++i) {
             this->sendRandomRequest();
         }
         this->fleet.runFor(10ms);
-        const unsigned node = this->randomBelow(nodeCount);
+        const unsigned node = this->randomBelow(this->nodeCount);
         this->fleet.processes[node]->signal(SIGTERM);
         this->waitForResponses();
         for (const auto &[id, request] : this->completedRequests) {
             this->recorder.check(request.result.end == StandIns::ExchangeEnd::Complete, id + " was lost at a planned stop");
         }
+        this->restartEndedNode(node);
+        this->completedRequests.clear();
+        this->callersStopping = false;
+        for (unsigned caller = 0; caller < 4; ++caller) {
+            this->startKeptCaller(this->fleet.callerAddress(node, true));
+        }
+        this->fleet.runFor(100ms);
+        this->fleet.processes[node]->signal(SIGTERM);
+        this->waitForResponses();
+        for (const auto &[id, request] : this->completedRequests) {
+            const bool isAnswered = request.result.end == StandIns::ExchangeEnd::Complete;
+            this->recorder.check(isAnswered || this->fleet.runCount(id) == 0, id + " was run and lost at a planned stop");
+        }
+    }
+
+    /// Waits until the process of a leaving node has ended, and starts it again.
+    void restartEndedNode(unsigned node)
+    {
+        while (this->fleet.processes[node]->isRunning()) {
+            this->fleet.runFor(20ms);
+        }
+        this->fleet.startNode(node);
+        this->recorder.check(this->fleet.waitUntilReady(node), "node " + std::to_string(node) + " is not ready after a planned stop");
     }
 
     /// Checks that all nodes are ready again after the faults and that at least 27 of 30 requests succeed.
     void checkRecovery()
     {
-        for (unsigned node = 0; node < nodeCount; ++node) {
+        for (unsigned node = 0; node < this->nodeCount; ++node) {
             this->recorder.check(this->fleet.waitUntilReady(node), "node " + std::to_string(node) + " is not ready after the faults");
         }
         this->sendRandomRequests(30);
@@ -329,7 +406,9 @@
     }
 
     std::mt19937 random;
+    unsigned nodeCount;
     PlatformFleet fleet;
+    bool callersStopping = false; ///< Whether callers with open connections end after their current request.
     ViolationRecorder recorder;
     std::map<std::string, CompletedRequest> completedRequests; ///< Requests that have ended, by request id.
     std::set<unsigned> pausedNodes; ///< Nodes whose processes are stopped by SIGSTOP.
@@ -337,6 +416,13 @@
     unsigned nextId = 0; ///< Number in the id of the next request.
 };
 
+/// @return number of nodes, from GALENARACK_SOAK_NODES
+unsigned nodeCountOfRuns()
+{
+    const char *text = std::getenv("GALENARACK_SOAK_NODES");
+    return text == nullptr ? defaultNodeCount : static_cast<unsigned>(std::stoul(text));
+}
+
 /// @return seeds to run: those in GALENARACK_SOAK_SEEDS (e.g. "1 2 3"), or the regression seeds
 std::vector<unsigned> seeds()
 {
@@ -363,11 +449,12 @@
 public:
     /// Guards against work that runs twice, refusals that falsely state that work has not run, responses that belong to another
     /// request, and a fleet that does not recover. Faults occur in random order: nodes are killed, stopped, paused and restarted,
-    /// paths are delayed, silent in one or both directions or reset, the registry is unreachable, and upstreams fail or drain.
+    /// paths are delayed, silent in one or both directions or reset, the registry is unreachable or silent, loses replies or cuts
+    /// watches, and upstreams fail, drain or send rejections twice. Some callers keep their connections.
     void keepsGuaranteesUnderFaults()
     {
         for (const unsigned seed : seeds()) {
-            const std::vector<std::string> violations = SoakRun(seed).run();
+            const std::vector<std::string> violations = SoakRun(seed, nodeCountOfRuns()).run();
             std::string text;
             for (const std::string &line : violations) {
                 text += line + "; ";
