Name what a newcomer would stop at in the registry's client and follower

Change: kindOfFailure() in place of nested conditions; recordRemoval(), as a removal outside an outage is applied with the same reply.

Result: no change of behaviour; ServiceClientTest passed.

--- a/galenarack/config/serviceclient.cpp
+++ b/galenarack/config/serviceclient.cpp
@@ -22,14 +22,21 @@
 constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
 
 /// @param hasBegun whether the first byte of the response was received
-absl::Status callError(std::string_view what, const beast::error_code &error, bool hasBegun)
+ErrorKind kindOfFailure(const beast::error_code &error, bool hasBegun)
 {
+    if (hasBegun) {
+        return ErrorKind::PeerUnreachable;
+    }
+    if (error == beast::error::timeout) {
+        return ErrorKind::Timeout;
+    }
     const bool isClosed
         = error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::broken_pipe;
-    const ErrorKind kind = hasBegun                         ? ErrorKind::PeerUnreachable
-                           : isClosed                       ? ErrorKind::PeerLost
-                           : error == beast::error::timeout ? ErrorKind::Timeout
-                                                            : ErrorKind::PeerUnreachable;
+    return isClosed ? ErrorKind::PeerLost : ErrorKind::PeerUnreachable;
+}
+
+absl::Status callError(ErrorKind kind, std::string_view what, const beast::error_code &error)
+{
     return makeError(kind, "configuration service: " + std::string(what) + ": " + error.message());
 }
 
@@ -79,7 +86,7 @@
     const auto [connectError] = co_await this->stream->async_connect(endpoint, asTuple);
     if (connectError) {
         this->stream.reset();
-        co_return makeError(ErrorKind::PeerUnreachable, "configuration service: cannot connect: " + connectError.message());
+        co_return callError(ErrorKind::PeerUnreachable, "cannot connect", connectError);
     }
     // A watch transfers no data for up to watchWait, so a dead connection can only be detected by the kernel.
     detectDeadConnection(this->stream->socket());
@@ -93,13 +100,13 @@
     this->stream->expires_after(wait + this->settings.replyTimeout);
     const auto [writeError, written] = co_await http::async_write(*this->stream, request, asTuple);
     if (writeError) {
-        co_return callError("cannot send the request", writeError, false);
+        co_return callError(kindOfFailure(writeError, false), "cannot send the request", writeError);
     }
     Parser parser;
     parser.body_limit(this->settings.maxReplyBytes);
     parser.header_limit(maxHeaderBytes);
     if (const auto readError = co_await this->readResponse(parser, wait + this->settings.replyTimeout)) {
-        co_return callError("cannot read the response", readError, parser.got_some());
+        co_return callError(kindOfFailure(readError, parser.got_some()), "cannot read the response", readError);
     }
     ServiceReply reply;
     reply.status = parser.get().result_int();
--- a/galenarack/config/serviceclient.h
+++ b/galenarack/config/serviceclient.h
@@ -30,7 +30,7 @@
     Duration connectTimeout = std::chrono::seconds(2);
     /// Longest time until the head of the response, beyond the time that a watch may be held, and then without a byte of the body.
     Duration replyTimeout = std::chrono::seconds(1);
-    Duration transferTimeout = std::chrono::seconds(5); ///< Longest time from the first byte of a response to its last.
+    Duration transferTimeout = std::chrono::seconds(5); ///< Longest time from the head of a response to its last byte.
     std::size_t maxReplyBytes = std::size_t{1024} * 1024; ///< Maximum size of the body of a response, in bytes.
     Duration retryMin = std::chrono::milliseconds(500); ///< Longest pause after one failure; doubles with each consecutive failure.
     Duration retryMax = std::chrono::seconds(15); ///< Upper limit of the pause after a failure.
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -104,7 +104,7 @@
     std::ranges::sort(listedIds);
     for (const auto &[id, entry] : this->view.entries()) {
         if (!std::ranges::binary_search(listedIds, id)) {
-            this->deferRemoval(id, entries->revision);
+            this->recordRemoval(id, entries->revision);
         }
     }
     this->applyHeldRemovals(NodeClock::now());
@@ -184,7 +184,7 @@
                                     this->heldRemovals.erase(entry.id);
                                 },
                                 [this](const Platform::EntryRemoved &removed) {
-                                    this->deferRemoval(removed.id, removed.revision);
+                                    this->recordRemoval(removed.id, removed.revision);
                                 },
                                 this->log};
     for (const Platform::RegistryChange &change : read.changes) {
@@ -193,7 +193,7 @@
     this->applyHeldRemovals(NodeClock::now());
 }
 
-void RegistryFollower::deferRemoval(std::string_view id, std::uint64_t revision)
+void RegistryFollower::recordRemoval(std::string_view id, std::uint64_t revision)
 {
     // A later outage does not extend the deferral: the entry has been missing since before.
     const bool isNew = this->heldRemovals.try_emplace(std::string(id), HeldRemoval{revision, this->holdRemovalsUntil}).second;
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -56,7 +56,8 @@
     boost::asio::awaitable<void> backOff();
     void applyChanges(const Platform::RegistryRead &read);
     void applyHeldRemovals(TimePoint now);
-    void deferRemoval(std::string_view id, std::uint64_t revision);
+    /// Records a removal, to be applied with the changes of the same reply or, after an outage, later.
+    void recordRemoval(std::string_view id, std::uint64_t revision);
     /// @return longest time that the next watch may be held, so that deferred removals are applied when they are due
     Duration nextWatchWait(TimePoint now) const;
     /// @param isWatch whether the failed call is a watch
