Put the odd keys of the registry test before those of the upstreams

Cause: the rows of odd keys did not test what says. Their keys sorted last, so no page followed them, and they passed on too, which puts the key into the query as it is.

Change: the keys sort first, so that each ends a page with others after it.

--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -197,7 +197,8 @@
     }
 
     /// Guards against nodes that end, that never get the list or that stop following it, because another writer left an odd entry
-    /// among those of the upstreams. With pages of one entry, each key ends a page.
+    /// among those of the upstreams. With pages of one entry, each key ends a page. The
+    /// odd keys come before those of the upstreams, so that further pages follow.
     void followsRegistryBesideOddEntries()
     {
         constexpr std::size_t maxValueBytes = 1024 * 1024;
@@ -231,10 +232,10 @@
             {"no value", "odd", ""},
             {"bytes that are no text", "odd", "\xff\xfe\x80{"},
             {"empty id", "", valid},
-            {"key with a space", "odd key", valid},
-            {"key with a line end", "odd\r\nX-Odd: 1", valid},
-            {"key with reserved characters", "odd&prefix=op/#%zz+", valid},
-            {"key beyond ASCII", "od\xc3\xa9", valid},
+            {"key with a space", "a key", valid},
+            {"key with a line end", "a\r\nX-Odd: 1", valid},
+            {"key with reserved characters", "a&prefix=op/#%zz+", valid},
+            {"key beyond ASCII", "a\xc3\xa9", valid},
         };
         for (const std::size_t pageSize : {std::size_t(500), std::size_t(1)}) {
             PlatformFleet fleet(nodeCount);
