Log the requests that the end of a leaving process cuts

Change: one line for each request in progress when the process ends: when it was received after the signal, its wait, its run, and the usual duration.

--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -210,6 +210,7 @@
     }
     const bool isServed = this->callersStopped && isIdle && this->callers.connectionCount() == 0;
     if (isServed || age >= grace - killMargin) {
+        this->router.logCutRequests(this->drainStarted, now);
         this->links.stop();
         this->log.info("node stopped",
                        {{"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -261,6 +261,33 @@
     }
 }
 
+void RequestRouter::logCutRequests(TimePoint drainStarted, TimePoint now) const
+{
+    const auto milliseconds = [](Duration duration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    };
+    for (const auto &context : this->open) {
+        if (context->route == nullptr) {
+            continue;
+        }
+        const auto running = std::ranges::find_if(context->attempts, [](const std::shared_ptr<Attempt> &attempt) {
+            return !attempt->done && attempt->progress.committed;
+        });
+        const bool isRunning = running != context->attempts.end();
+        const TimePoint passedOn = isRunning ? (*running)->progress.committedAt : now;
+        this->log.warn("request cut",
+                       {{"request_id", context->id},
+                        {"route", context->route->name},
+                        {"upstream", isRunning ? std::string_view((*running)->upstream) : std::string_view()},
+                        {"idempotent", context->route->idempotent ? "yes" : "no"},
+                        {"received_ms", milliseconds(context->started - drainStarted)},
+                        {"waited_ms", milliseconds(passedOn - context->started)},
+                        {"ran_ms", milliseconds(now - passedOn)},
+                        {"expected_ms", milliseconds(context->expected)},
+                        {"left_ms", milliseconds(context->deadline - now)}});
+    }
+}
+
 std::optional<TimePoint> RequestRouter::hedgeTime(const RequestContext &context) const
 {
     if (context.hedged || !context.route->idempotent) {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -57,6 +57,10 @@
     /// Refuses all requests that no upstream is running, because the node stops before they could be run.
     void refuseUnstarted();
 
+    /// Logs each request in progress, because the node stops now and cuts it.
+    /// @param drainStarted when the node began to leave
+    void logCutRequests(TimePoint drainStarted, TimePoint now) const;
+
     /// @return number of requests in progress
     std::size_t inProgress() const
     {
