Start only work that ends before a leaving node does

Cause: the leaving node accepted late requests by four times, and a leaving home by twice, the mean duration of their route. A mean bounds no single run, and the wait for a slot was left out. The log lines of 17 cut requests have runs of 2.0 to 3.0 s against a usual 0.31 to 0.45 s, after waits of 0.02 to 0.46 s; all were released.

Change: DrainSchedule holds the times of a leaving node. From 2.8 s after the signal on, work is sent to an upstream only if its deadline is before the end of the process: new requests, calls of the upstream, repeats, hedges and requests that wait for a slot. The others are answered 503 at once. A leaving home declines what may outlive it, so that it is offered elsewhere.

--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -49,8 +49,9 @@
 /// Time after which an ingress may make another offer to a node that is leaving, or whose upstream is.
 constexpr Duration leavingRetryDelay = std::chrono::seconds(2);
 
-/// A leaving node accepts work only if this many times its usual duration fits into the time that is left.
-constexpr int drainSafetyFactor = 2;
+/// A leaving node accepts work only if this many times its usual duration fits into the time until callers and other nodes know, so
+/// that the process seldom runs on for single requests.
+constexpr int usualDurationFactor = 2;
 
 constexpr unsigned serverError = 500;
 constexpr unsigned gatewayTimeout = 504;
@@ -138,7 +139,7 @@
 OfferOutcome HomeService::admit(const Offer &offer, TimePoint now, Duration &retryAfter)
 {
     const UpstreamEntry *own = this->entry();
-    if (this->isLeaving(offer, now)) {
+    if (this->isLeaving(offer, now + offer.remaining, now)) {
         retryAfter = leavingRetryDelay;
         return OfferOutcome::Leaving;
     }
@@ -173,11 +174,18 @@
     }
 }
 
-bool HomeService::isLeaving(const Offer &offer, TimePoint now) const
+bool HomeService::isLeaving(const Offer &offer, TimePoint deadline, TimePoint now) const
 {
     const UpstreamEntry *own = this->entry();
-    const bool endsTooLate = this->drainEnd && now + offer.expected * drainSafetyFactor > *this->drainEnd;
-    return endsTooLate || own == nullptr || own->id != offer.upstream || own->draining;
+    if (own == nullptr || own->id != offer.upstream || own->draining) {
+        return true;
+    }
+    if (!this->drainSchedule) {
+        return false;
+    }
+    // A single run may take much longer than usual; only the deadline bounds it.
+    const bool mayOutliveProcess = deadline > this->drainSchedule->workEnd;
+    return mayOutliveProcess || now + offer.expected * usualDurationFactor > this->drainSchedule->announced;
 }
 
 bool HomeService::mayRepeat(const Offer &offer, std::string_view service, TimePoint now) const
@@ -261,6 +269,7 @@
     call.cancellation.setAction([waiter] {
         waiter->signal.cancel();
     });
+    waiter->deadline = request.deadline;
     this->advance(now);
     while (!waiter->granted && !waiter->expired && !waiter->declined && !call.cancellation.isRequested()) {
         co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -450,7 +459,7 @@
     }
     // A leaving upstream gets no queued requests either.
     for (const auto &[ticket, waiter] : this->waiters) {
-        if (!waiter->granted && this->isLeaving(waiter->offer, now)) {
+        if (!waiter->granted && this->isLeaving(waiter->offer, waiter->deadline, now)) {
             waiter->declined = true;
             waiter->signal.cancel();
         }
@@ -464,9 +473,9 @@
         static_cast<std::uint32_t>(this->queue.running()), static_cast<std::uint32_t>(this->queue.waiting()), this->queue.slotCount()};
 }
 
-void HomeService::drainUntil(TimePoint end)
+void HomeService::drain(const DrainSchedule &schedule)
 {
-    this->drainEnd = end;
+    this->drainSchedule = schedule;
 }
 
 } // namespace Galenarack
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -8,6 +8,7 @@
 #include <galenarack/policy/admissionqueue.h>
 #include <galenarack/policy/connectbackoff.h>
 #include <galenarack/policy/grayfailurefilter.h>
+#include <galenarack/policy/drainschedule.h>
 #include <galenarack/policy/movingshare.h>
 #include <galenarack/policy/retryallowance.h>
 #include <galenarack/proxy/dialect.h>
@@ -47,8 +48,9 @@
     /// failure, and declines queued requests when the upstream is leaving. Call it every 100 ms.
     void tick(TimePoint now);
 
-    /// Called when the node is leaving: from now on accepts only work that is expected to end well before a time.
-    void drainUntil(TimePoint end);
+    /// Called when the node is leaving: from now on accepts only work that surely ends before the process does, and that is expected
+    /// to end before callers and other nodes know.
+    void drain(const DrainSchedule &schedule);
 
     /// Records that a request from this VM has failed. The upstream on this VM may have sent it as part of other work, so an
     /// error response to work that was running when the request started isn't counted as a failure of the upstream itself.
@@ -80,6 +82,7 @@
     };
 
     /// A request that the upstream is running.
+        TimePoint deadline; ///< Time after which a response has no value.
     struct Run
     {
         TimePoint started;
@@ -103,7 +106,9 @@
     /// @return whether the retry allowance of this upstream has room for a repeat
     bool mayRepeat(const Offer &offer, std::string_view service, TimePoint now) const;
 
-    bool isLeaving(const Offer &offer, TimePoint now) const;
+    /// @param deadline deadline of the request
+    /// @return whether the upstream is leaving, or the node would before the work has ended
+    bool isLeaving(const Offer &offer, TimePoint deadline, TimePoint now) const;
 
     /// @return whether the upstream is healthy enough for the request; the limit is stricter for non-idempotent ones
     bool isHealthyEnough(const Offer &offer, TimePoint now) const;
@@ -144,7 +149,7 @@
     TimePoint lastLocalFailureStart; ///< Latest start of a request from this VM that failed.
     RetryAllowance repeats; ///< Limits the repeats that the upstream receives.
     MovingShare rejectedShare; ///< Share of the requests that the upstream rejects without running them.
-    std::optional<TimePoint> drainEnd; ///< Set while the node is leaving; work has to end before this time.
+    std::optional<DrainSchedule> drainSchedule; ///< Set while the node is leaving.
     Log log{"home"};
 };
 
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -19,22 +19,6 @@
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 
-/// Callers on this VM send new requests until two readiness checks, a second apart, have failed.
-constexpr Duration announceTime = std::chrono::milliseconds(2600);
-
-/// Callers that still send requests after this time ignore the readiness; their work might not end before the process does.
-constexpr Duration lateRequestTime = std::chrono::milliseconds(2800);
-
-/// The process exits this long before it would be killed.
-constexpr Duration killMargin = std::chrono::milliseconds(300);
-
-/// No further connections are accepted from this long before the process would be killed, even if requests keep arriving, so
-/// that those on accepted connections can be answered.
-constexpr Duration lastAcceptMargin = std::chrono::milliseconds(900);
-
-/// Requests that no upstream is running are refused this long before the process would be killed.
-constexpr Duration refusalMargin = std::chrono::milliseconds(1200);
-
 /// Share of the memory of the process for the responses of the upstream in transit, and as much again for the bodies on the
 /// connections between nodes. A buffer that grows needs up to three times the size of its contents for a moment.
 constexpr std::size_t transitMemoryShare = 8;
@@ -145,16 +129,16 @@
 
 void ProxyNode::drain(std::string_view signal)
 {
-    if (this->draining) {
+    if (this->drainSchedule) {
         return;
     }
-    this->draining = true;
-    this->drainStarted = NodeClock::now();
+    this->drainSchedule = DrainSchedule::forGrace(NodeClock::now(), this->settings.bounds.terminationGrace);
     this->log.info("node is leaving",
                    {{"signal", signal},
                     {"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
                     {"home_in_progress", static_cast<std::int64_t>(this->home.inProgress())}});
-    this->home.drainUntil(this->drainStarted + announceTime);
+    this->home.drain(*this->drainSchedule);
+    this->router.drain(*this->drainSchedule);
     this->callers.drain();
 }
 
@@ -188,29 +172,22 @@
 
 void ProxyNode::tickDrain(TimePoint now)
 {
-    if (!this->draining) {
+    if (!this->drainSchedule) {
         return;
     }
-    const Duration age = now - this->drainStarted;
-    if (age >= lateRequestTime) {
-        this->router.drainUntil(this->drainStarted + this->settings.bounds.terminationGrace - refusalMargin);
-    }
-    if (age < announceTime) {
+    this->router.tickDrain(now);
+    if (now < this->drainSchedule->announced) {
         return;
     }
-    const Duration grace = this->settings.bounds.terminationGrace;
-    if (age >= grace - refusalMargin) {
-        this->router.refuseUnstarted();
-    }
     const bool isIdle = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0;
-    if (!this->callersStopped && (isIdle || age >= grace - lastAcceptMargin)) {
+    if (!this->callersStopped && (isIdle || now >= this->drainSchedule->acceptEnd)) {
         this->callersStopped = true;
         this->callers.stop();
         return;
     }
     const bool isServed = this->callersStopped && isIdle && this->callers.connectionCount() == 0;
-    if (isServed || age >= grace - killMargin) {
-        this->router.logCutRequests(this->drainStarted, now);
+    if (isServed || now >= this->drainSchedule->exit) {
+        this->router.logCutRequests(now);
         this->links.stop();
         this->log.info("node stopped",
                        {{"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
@@ -226,7 +203,7 @@
 
 Readiness ProxyNode::readiness() const
 {
-    if (this->draining) {
+    if (this->drainSchedule) {
         return {false, "draining"};
     }
     if (!this->view.config() || !this->follower.isSynchronized()) {
--- a/galenarack/proxy/proxynode.h
+++ b/galenarack/proxy/proxynode.h
@@ -5,6 +5,7 @@
 #include <galenarack/node/settings.h>
 #include <galenarack/operators/metrics.h>
 #include <galenarack/operators/operatorserver.h>
+#include <galenarack/policy/drainschedule.h>
 #include <galenarack/proxy/callerserver.h>
 #include <galenarack/proxy/homeservice.h>
 #include <galenarack/proxy/peerlinks.h>
@@ -14,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace Galenarack {
@@ -55,9 +57,8 @@
     CallerServer callers;
     std::unique_ptr<OperatorServer> operatorServer;
     boost::asio::steady_timer timer;
-    bool draining = false;
+    std::optional<DrainSchedule> drainSchedule; ///< Set while the node is leaving.
     bool callersStopped = false; ///< No further connections of callers are accepted; the remaining ones are served to their end.
-    TimePoint drainStarted;
     Log log{"node"};
 };
 
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -36,9 +36,6 @@
 constexpr int retryAfterShare = 3;
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 
-/// A leaving node accepts a request only if this many times its usual duration fits into the time that is left.
-constexpr int drainSafetyFactor = 4;
-
 constexpr unsigned serverError = 500;
 
 /// Timeout of a route that sets none.
@@ -159,16 +156,17 @@
     context.deadline = now + allowed;
     context.targetDeadline = now + route.targetLatency;
     context.expected = this->durations.usual(route.name, route.targetLatency);
-    if (this->drainEnd && now + context.expected * drainSafetyFactor > *this->drainEnd) {
-        refusal = this->refuse(context, ErrorKind::Draining, *this->drainEnd - now);
-        return false;
-    }
     return true;
 }
 
-void RequestRouter::drainUntil(TimePoint end)
+void RequestRouter::drain(const DrainSchedule &schedule)
+{
+    this->drainSchedule = schedule;
+}
+
+bool RequestRouter::mayStart(const RequestContext &context, TimePoint now) const
 {
-    this->drainEnd = end;
+    return !this->drainSchedule || this->drainSchedule->mayStart(context.deadline, now);
 }
 
 void RequestRouter::refreshEntries(TimePoint now)
@@ -218,14 +216,14 @@
                 this->cancelAttempts(*context);
                 co_return this->respond(*context, *attempt);
             }
-            const bool mayStart = step == NextStep::TryNext && now < context->deadline && !context->abandoned;
+            const bool mayStart = step == NextStep::TryNext && now < context->deadline;
             const bool isAnyOpen = (mayStart && this->startAttempt(context, false)) || this->hasOpenAttempt(*context);
             if (!isAnyOpen) {
                 co_return this->fail(*context, now >= context->deadline);
             }
             continue;
         }
-        if (now >= context->deadline || (context->abandoned && !this->isRunning(*context))) {
+        if (now >= context->deadline || (!this->mayStart(*context, now) && !this->isRunning(*context))) {
             this->cancelAttempts(*context);
             co_return this->fail(*context, now >= context->deadline);
         }
@@ -253,18 +251,22 @@
     });
 }
 
-void RequestRouter::refuseUnstarted()
+void RequestRouter::tickDrain(TimePoint now)
 {
     for (const auto &context : this->open) {
-        context->abandoned = true;
-        context->wake.cancel();
+        if (!this->mayStart(*context, now)) {
+            context->wake.cancel();
+        }
     }
 }
 
-void RequestRouter::logCutRequests(TimePoint drainStarted, TimePoint now) const
+void RequestRouter::logCutRequests(TimePoint now) const
 {
     const auto milliseconds = [](Duration duration) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    if (!this->drainSchedule) {
+        return;
+    }
     };
     for (const auto &context : this->open) {
         if (context->route == nullptr) {
@@ -280,7 +282,7 @@
                         {"route", context->route->name},
                         {"upstream", isRunning ? std::string_view((*running)->upstream) : std::string_view()},
                         {"idempotent", context->route->idempotent ? "yes" : "no"},
-                        {"received_ms", milliseconds(context->started - drainStarted)},
+                        {"received_ms", milliseconds(context->started - this->drainSchedule->started)},
                         {"waited_ms", milliseconds(passedOn - context->started)},
                         {"ran_ms", milliseconds(now - passedOn)},
                         {"expected_ms", milliseconds(context->expected)},
@@ -386,7 +388,7 @@
 
 bool RequestRouter::startAttempt(const std::shared_ptr<RequestContext> &context, bool isHedge)
 {
-    if (context->offers >= offerLimit) {
+    if (context->offers >= offerLimit || !this->mayStart(*context, NodeClock::now())) {
         return false;
     }
     const Target target = this->chooseTarget(*context, isHedge);
@@ -637,6 +639,10 @@
     return this->refuse(
         context, context.lastOutcome == OfferOutcome::Expired || timedOut ? ErrorKind::Overloaded : ErrorKind::NoUpstream, wait);
 }
+    const TimePoint now = NodeClock::now();
+    if (!timedOut && !this->mayStart(context, now)) {
+        return this->refuse(context, ErrorKind::Draining, std::max<Duration>(this->drainSchedule->exit - now, minRetryAfter));
+    }
 
 PeerResponse RequestRouter::refuse(const RequestContext &context, ErrorKind kind, Duration retryAfter) const
 {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -5,6 +5,7 @@
 #include <galenarack/ingress/requestforwarder.h>
 #include <galenarack/operators/metrics.h>
 #include <galenarack/policy/durationestimate.h>
+#include <galenarack/policy/drainschedule.h>
 #include <galenarack/policy/placement.h>
 #include <galenarack/policy/weightedsplit.h>
 #include <galenarack/proxy/dialect.h>
@@ -51,15 +52,15 @@
     /// @return the response for the caller, also when the request fails
     boost::asio::awaitable<PeerResponse> route(CallerRequest request, std::shared_ptr<Cancellation> cancellation, bool isConfigCurrent);
 
-    /// Called when the node is leaving: from now on accepts only requests whose work is expected to end well before a time.
-    void drainUntil(TimePoint end);
+    /// Called when the node is leaving: from now on starts only work that the schedule allows.
+    void drain(const DrainSchedule &schedule);
 
-    /// Refuses all requests that no upstream is running, because the node stops before they could be run.
-    void refuseUnstarted();
+    /// Refuses the requests that no upstream is running and that may no longer be sent to one, because the node is leaving. Call it
+    /// every 100 ms while the node is leaving.
+    void tickDrain(TimePoint now);
 
-    /// Logs each request in progress, because the node stops now and cuts it.
-    /// @param drainStarted when the node began to leave
-    void logCutRequests(TimePoint drainStarted, TimePoint now) const;
+    /// Logs each request in progress, because the leaving node stops now and cuts it.
+    void logCutRequests(TimePoint now) const;
 
     /// @return number of requests in progress
     std::size_t inProgress() const
@@ -121,7 +122,6 @@
         bool mayHaveRun = false; ///< An upstream ran the request, or may have run it.
         Duration retryAfter{}; ///< Longest wait for a slot that a home has reported.
         bool hedged = false; ///< The time to send a hedge has passed, whether or not one was sent.
-        bool abandoned = false; ///< The node stops before the request can be started.
     };
 
     /// Next step of a request after one of its attempts is done.
@@ -170,6 +170,9 @@
 
     /// @return whether the request was released to a home that may run it and has not responded yet
     bool isRunning(const RequestContext &context) const;
+    /// @return false when the leaving node could stop before the request ends
+    bool mayStart(const RequestContext &context, TimePoint now) const;
+
 
     bool hasOpenAttempt(const RequestContext &context) const;
 
@@ -196,7 +199,7 @@
     std::map<std::string, WeightedSplit, std::less<>> splits; ///< Traffic splits by name of the route.
     std::uint64_t viewGeneration = 0; ///< Generation of the fleet view that the placement was last updated from.
     std::set<std::shared_ptr<RequestContext>> open; ///< Requests in progress.
-    std::optional<TimePoint> drainEnd; ///< Set when the node accepts only work that ends before this time.
+    std::optional<DrainSchedule> drainSchedule; ///< Set while the node is leaving.
     Log log{"router"};
 };
 
--- a/processtests/platformtest.cpp
+++ b/processtests/platformtest.cpp
@@ -59,6 +59,8 @@
     CPPUNIT_TEST(usesRecoveredUpstream);
     CPPUNIT_TEST(drainsWithoutLoss);
     CPPUNIT_TEST(answersAllAcceptedRequestsBeforeItStops);
+    CPPUNIT_TEST(leavingNodeStartsNoWorkThatItWouldCut);
+    CPPUNIT_TEST(leavingHomeDeclinesWorkThatItWouldCut);
     CPPUNIT_TEST(waitsForWorkOfPausedHome);
     CPPUNIT_TEST_SUITE_END();
 
@@ -274,6 +276,83 @@
         CPPUNIT_ASSERT(fleet.processes[0]->wait(7s).has_value());
     }
 
+    /// Guards against requests that a leaving node passes on late and then cuts at its end, because their run is longer than usual or
+    /// they wait for a slot, and against refusals of late requests that surely end in time.
+    void leavingNodeStartsNoWorkThatItWouldCut()
+    {
+        const struct
+        {
+            const char *name;
+            std::chrono::milliseconds sentAfter; ///< Time from SIGTERM to the request.
+            std::chrono::milliseconds deadline;
+            std::chrono::milliseconds processingTime; ///< Duration of the run.
+            unsigned busySlots; ///< Slots held by runs of the same duration that began before the request; there are eight.
+            unsigned status;
+            unsigned runs;
+        } table[] = {
+            {"late, run longer than usual", 3200ms, 4000ms, 3000ms, 0, 503, 0},
+            {"late, ends in time", 3200ms, 1500ms, 300ms, 0, 200, 1},
+            {"waits for a slot", 2500ms, 4000ms, 3000ms, 7, 503, 0},
+            {"in time, run longer than usual", 1600ms, 4000ms, 3000ms, 0, 200, 1},
+        };
+        for (const auto &row : table) {
+            PlatformFleet fleet(nodeCount);
+            CPPUNIT_ASSERT(fleet.startAll());
+            // The usual duration of the work is short.
+            for (int i = 0; i < 40; ++i) {
+                fleet.sendAndWait(i % 2 == 0 ? 0 : 2, "POST", "/write/x", "u" + std::to_string(i));
+            }
+            const auto sendLater = [&fleet](unsigned node, const std::string &id) {
+                asio::co_spawn(
+                    fleet.context,
+                    [&fleet, node, id]() -> asio::awaitable<void> {
+                        co_await fleet.send(node, "POST", "/write/x", id, 4s);
+                    },
+                    asio::detached);
+            };
+            fleet.processes[0]->signal(SIGTERM);
+            // A request in progress keeps the process from ending early.
+            constexpr auto heldFrom = 1400ms;
+            fleet.runFor(heldFrom);
+            fleet.upstreams[1]->behaviour.processingTime = 3800ms;
+            fleet.upstreams[3]->behaviour.processingTime = 3800ms;
+            sendLater(0, "held");
+            fleet.runFor(100ms);
+            for (const auto &upstream : fleet.upstreams) {
+                upstream->behaviour.processingTime = row.processingTime;
+            }
+            for (unsigned busy = 0; busy < row.busySlots; ++busy) {
+                sendLater(busy % 2 == 0 ? 2 : 0, "b" + std::to_string(busy));
+                fleet.runFor(10ms);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::ptrdiff_t{row.busySlots}, busyRuns(fleet));
+            fleet.runFor(row.sentAfter - heldFrom - 100ms - row.busySlots * 10ms);
+            const CallResult result = this->sendWithDeadline(fleet, 0, "w1", row.deadline);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.status, result.status);
+            CPPUNIT_ASSERT(fleet.processes[0]->wait(8s).has_value());
+            fleet.runFor(4s);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.runs, fleet.runCount("w1"));
+        }
+    }
+
+    /// Guards against work of other nodes that a leaving home accepts and then cuts, because it takes longer than usual.
+    void leavingHomeDeclinesWorkThatItWouldCut()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        for (int i = 0; i < 40; ++i) {
+            fleet.sendAndWait(0, "POST", "/write/x", "u" + std::to_string(i));
+        }
+        // Node 0 prefers the upstream of node 1, which is in its failure domain.
+        fleet.upstreams[1]->behaviour.processingTime = 3850ms;
+        fleet.processes[1]->signal(SIGTERM);
+        fleet.runFor(2000ms);
+        const CallResult result = this->sendWithDeadline(fleet, 0, "w1", 4s);
+        CPPUNIT_ASSERT_EQUAL(200U, result.status);
+        CPPUNIT_ASSERT_EQUAL(1U, fleet.runCount("w1"));
+        CPPUNIT_ASSERT(fleet.processes[1]->wait(8s).has_value());
+    }
+
     /// Guards against work that is run again elsewhere, or given up, because the machine that runs it was silent for a while.
     void waitsForWorkOfPausedHome()
     {
@@ -346,6 +425,35 @@
             CPPUNIT_ASSERT(fleet.waitUntilReady(leaving));
         }
     }
+
+private:
+    /// @return number of runs of the requests that hold slots, named b0, b1 and so on
+    static std::ptrdiff_t busyRuns(const PlatformFleet &fleet)
+    {
+        std::ptrdiff_t count = 0;
+        for (const auto &upstream : fleet.upstreams) {
+            count += std::ranges::count_if(upstream->runs, [](const auto &run) {
+                return run.first.starts_with('b');
+            });
+        }
+        return count;
+    }
+
+    /// Sends a non-idempotent request and runs the event loop until it has ended.
+    static CallResult sendWithDeadline(PlatformFleet &fleet, unsigned node, const std::string &id, std::chrono::milliseconds deadline)
+    {
+        std::optional<CallResult> result;
+        asio::co_spawn(
+            fleet.context,
+            [&]() -> asio::awaitable<void> {
+                result = co_await fleet.send(node, "POST", "/write/x", id, deadline);
+            },
+            asio::detached);
+        while (!result) {
+            fleet.runFor(10ms);
+        }
+        return *result;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
