Notice a lost reply of the registry by its revision

What callers saw: after a fault in which the registry lost replies or was silent, nodes answered 404 on a new route, or used the old service of a moved one, for up to 2 s longer than the bounds allow.

Cause: a watch that was opened just before the end of the fault failed 4.7 s later. FollowerSettings added settleTime and applyTime, but a change that is made as the fault ends must be in force settleTime after it. Probes did not help: any answer passed for a sound watch, and their kept connection could be dead as well.

Change: probes read the registry's revision on a new connection, each quarter of applyTime while a watch is younger than that. Offers and reports between nodes carry the revision that the sender has applied. A watch that does not return a known revision within 0.4 s is ended, and all is read again; meanwhile an unknown route is answered 503.

--- a/galenarack/config/serviceclient.cpp
+++ b/galenarack/config/serviceclient.cpp
@@ -112,7 +112,7 @@
     reply.status = parser.get().result_int();
     reply.etag = withoutQuotes(parser.get()[http::field::etag]);
     reply.body = std::move(parser.get().body());
-    if (!parser.get().keep_alive()) {
+    if (!parser.get().keep_alive() || !this->settings.keepsConnection) {
         this->stream.reset();
     }
     co_return reply;
--- a/galenarack/config/serviceclient.h
+++ b/galenarack/config/serviceclient.h
@@ -36,6 +36,9 @@
     Duration retryMax = std::chrono::seconds(15); ///< Upper limit of the pause after a failure.
     /// Whether a call that fails within connectTimeout on a reused connection is sent once more on a new one.
     bool resendsOnNewConnection = true;
+    /// Whether the connection is kept for further calls. On a connection of its own, a call shows whether the service answers now, even
+    /// if an answer on an earlier connection was lost.
+    bool keepsConnection = true;
     Duration startJitter = std::chrono::seconds(1); ///< Longest random delay of the first call.
     /// Longest random delay before sections are fetched, multiplied by the number of missing sections plus one. When 660 nodes fetch one
     /// section after the same change, they make 660 x 2 / 1 s = 1,320 calls a second; the service takes about 2,000.
--- a/galenarack/fleet/followersettings.cpp
+++ b/galenarack/fleet/followersettings.cpp
@@ -15,6 +15,9 @@
 /// Longest such wait, in multiples of the first one, while changes follow each other.
 constexpr int maxBatchPauses = 3;
 
+/// Number of probes in the time in which a lost reply to a watch would be noticed too late without them.
+constexpr int youngProbeCount = 4;
+
 /// Shortest time that a watch is held, so that narrow bounds of a deployment do not lead to a call without a pause.
 constexpr Duration minWatchWait = std::chrono::milliseconds(500);
 
@@ -30,6 +33,10 @@
     // has to fail, and the complete read after it to end, before that change must be in force.
     const Duration available = bounds.settleTime + bounds.applyTime - rereadTime - replyTimeout;
     settings.watchWait = std::clamp(available, minWatchWait, longestWatchWait);
+    // A watch fails `settleTime + applyTime` after it was opened at the latest, so one that is older than `applyTime` at the end of a
+    // fault fails before the bounds hold again. Until then only probes show that its reply was lost.
+    settings.youngWatchTime = bounds.applyTime;
+    settings.youngProbeInterval = std::min<Duration>(bounds.applyTime / youngProbeCount, settings.probeInterval);
     settings.batchPause = std::chrono::duration_cast<Duration>(bounds.applyTime * batchPauseShare);
     settings.batchPauseMax = settings.batchPause * maxBatchPauses;
     return settings;
--- a/galenarack/fleet/followersettings.h
+++ b/galenarack/fleet/followersettings.h
@@ -25,6 +25,11 @@
     /// Time without a reply after which a probe checks whether the registry answers calls at all. An entry of a running upstream
     /// expires after three check-ins were missed, so an outage that no probe has noticed is too short for that.
     Duration probeInterval = std::chrono::seconds(2);
+    Duration youngProbeInterval = std::chrono::milliseconds(500); ///< The same while a watch is younger than `youngWatchTime`.
+    /// A watch that was opened in a fault, at most this long before the end of the fault, would fail too late by itself.
+    Duration youngWatchTime = std::chrono::seconds(2);
+    /// Time for which a watch may be open without returning a change that the node has heard of elsewhere.
+    Duration watchLag = std::chrono::milliseconds(400);
     /// Pause between a change and the next watch, so that one call collects changes that arrive together.
     Duration batchPause = std::chrono::milliseconds(300);
     /// Upper limit of the pause. Each consecutive watch that finds changes waiting lengthens the pause by `batchPause`, so that
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -17,10 +17,12 @@
 RegistryFollower::RegistryFollower(const asio::any_io_executor &executor,
                                    Platform::RegistryClient &client,
                                    FleetView &view,
+                                   RevisionTracker &revisions,
                                    FollowerSettings settings,
                                    std::mt19937_64 random)
     : client(client)
     , view(view)
+    , revisions(revisions)
     , settings(settings)
     , random(random)
     , timer(executor)
@@ -50,7 +52,7 @@
 {
     for (;;) {
         const TimePoint start = NodeClock::now();
-        const TimePoint due = this->lastReply + this->settings.probeInterval;
+        const TimePoint due = this->nextProbe();
         if (!this->watching || start < due) {
             this->probeTimer.expires_after(this->watching ? due - start : this->settings.probeInterval);
             co_await this->probeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -68,6 +70,23 @@
     }
 }
 
+TimePoint RegistryFollower::nextProbe() const
+{
+    const bool isYoung = this->lastReply - this->watchStarted < this->settings.youngWatchTime;
+    return this->lastReply + (isYoung ? this->settings.youngProbeInterval : this->settings.probeInterval);
+}
+
+void RegistryFollower::tick(TimePoint now)
+{
+    const bool isLate = this->revisions.isBehind() && now - std::max(this->revisions.since(), this->watchStarted) > this->settings.watchLag;
+    if (this->watching && isLate) {
+        this->log.warn("watch is behind", {{"revision", static_cast<std::int64_t>(this->revision)}});
+        this->watchBehind = true;
+        this->watching = false;
+        this->client.abortWatch();
+    }
+}
+
 asio::awaitable<absl::Status> RegistryFollower::probe()
 {
     if (this->probing) {
@@ -77,7 +96,11 @@
     const ScopeGuard finished([this] {
         this->probing = false;
     });
-    co_return co_await this->client.probe();
+    const auto revision = co_await this->client.probe();
+    if (revision.ok()) {
+        this->revisions.onHeard(*revision, NodeClock::now());
+    }
+    co_return revision.status();
 }
 
 asio::awaitable<bool> RegistryFollower::readAll()
@@ -109,6 +132,7 @@
     }
     this->applyHeldRemovals(NodeClock::now());
     this->revision = entries->revision;
+    this->revisions.onReadAll(this->revision);
     this->synchronized = true;
     co_return true;
 }
@@ -117,6 +141,8 @@
 {
     const TimePoint now = NodeClock::now();
     this->watching = true;
+    this->watchBehind = false;
+    this->watchStarted = now;
     const auto read = co_await this->client.watch(this->revision, this->nextWatchWait(now));
     this->watching = false;
     if (!read.ok()) {
@@ -133,6 +159,7 @@
     }
     this->applyChanges(*read);
     this->revision = std::max(this->revision, read->revision);
+    this->revisions.onApplied(this->revision);
     if (!read->changes.empty()) {
         // Waiting changes are returned at once. A longer call means that there was no change when the watch started.
         const bool waited = NodeClock::now() - now > this->settings.batchPause;
@@ -231,7 +258,7 @@
     // A registry that is restarted cuts its watches, and the reply to a watch may be lost. Either way the registry was unavailable only
     // if a probe or the next call fails too.
     const ErrorKind kind = errorKindOf(error);
-    const bool isWatchLost = isWatch && this->contact && (kind == ErrorKind::PeerLost || kind == ErrorKind::Timeout);
+    const bool isWatchLost = isWatch && this->contact && (kind == ErrorKind::PeerLost || kind == ErrorKind::Timeout || this->watchBehind);
     this->outage = this->outage || !isWatchLost;
     if (this->contact || this->consecutiveFailures == 0) {
         this->log.warn("registry lost",
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -3,6 +3,7 @@
 #include <galenarack/core/log.h>
 #include <galenarack/fleet/fleetview.h>
 #include <galenarack/fleet/followersettings.h>
+#include <galenarack/fleet/revisiontracker.h>
 #include <platform/registryclient.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,7 @@
     RegistryFollower(const boost::asio::any_io_executor &executor,
                      Platform::RegistryClient &client,
                      FleetView &view,
+                     RevisionTracker &revisions,
                      FollowerSettings settings,
                      std::mt19937_64 random);
 
@@ -38,18 +40,24 @@
         return this->synchronized;
     }
 
-    /// @return whether the last call to the registry succeeded
-    bool inContact() const
+    /// @return whether the last call to the registry succeeded and this node knows of no change that it has not applied
+    bool isCurrent() const
     {
-        return this->contact;
+        return this->contact && !this->revisions.isBehind();
     }
 
+    /// Ends a watch whose reply must have been lost: the registry has changes, and the watch does not return them. Call it every
+    /// 100 ms.
+    void tick(TimePoint now);
+
 private:
     boost::asio::awaitable<void> follow();
     /// Probes the registry while a watch is open, and ends the watch when the registry does not answer.
     boost::asio::awaitable<void> probeWhileWatching();
     /// @return OK when the registry answers; fails while another probe is in progress, since only one may be
     boost::asio::awaitable<absl::Status> probe();
+    /// @return when the registry is to be probed next while a watch is open
+    TimePoint nextProbe() const;
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> pause(Duration time);
@@ -73,6 +81,7 @@
 
     Platform::RegistryClient &client;
     FleetView &view;
+    RevisionTracker &revisions;
     FollowerSettings settings;
     std::mt19937_64 random;
     boost::asio::steady_timer timer;
@@ -81,6 +90,8 @@
     bool synchronized = false;
     bool contact = false;
     bool watching = false; ///< Whether a watch is in progress.
+    bool watchBehind = false; ///< Whether the last watch was ended because it did not return known changes.
+    TimePoint watchStarted; ///< Start of the last watch.
     bool probing = false; ///< Whether a probe is in progress.
     bool outage = false; ///< Whether the registry has been unavailable since the last successful call.
     TimePoint lastReply; ///< Time of the last successful call.
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -95,11 +95,13 @@
                          const Dialect &dialect,
                          std::size_t responseBytes,
                          const RetryBound &retry,
-                         const FleetView &view)
+                         const FleetView &view,
+                         RevisionTracker &revisions)
     : executor(std::move(executor))
     , vm(std::move(vm))
     , dialect(dialect)
     , view(view)
+    , revisions(revisions)
     , pool(this->executor, upstream, poolLimits(dialect, responseBytes))
     , queue(initialSlots)
     , grayFilter(NodeClock::now())
@@ -132,6 +134,7 @@
     report.outcome = outcome;
     report.load = this->load(offer.failureDomain, NodeClock::now());
     report.retryAfter = retryAfter;
+    report.registryRevision = this->revisions.applied();
     report.appendTo(response.headers);
     return response;
 }
@@ -213,6 +216,7 @@
         response.status = errorRow(ErrorKind::InvalidRequest).httpStatus;
         co_return response;
     }
+    this->revisions.onHeard(offer->registryRevision, arrival);
     Duration retryAfter{};
     const OfferOutcome admission = this->admit(*offer, arrival, retryAfter);
     if (admission != OfferOutcome::Answered) {
@@ -265,11 +269,11 @@
     const auto waiter = std::make_shared<Waiter>(this->executor);
     this->waiters.emplace(request.ticket, waiter);
     waiter->offer = offer;
+    waiter->deadline = request.deadline;
     this->queue.push(request);
     call.cancellation.setAction([waiter] {
         waiter->signal.cancel();
     });
-    waiter->deadline = request.deadline;
     this->advance(now);
     while (!waiter->granted && !waiter->expired && !waiter->declined && !call.cancellation.isRequested()) {
         co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -370,6 +374,7 @@
     report.outcome = outcome;
     report.load = this->load(offer.failureDomain, now);
     report.runDuration = now - started;
+    report.registryRevision = this->revisions.applied();
     report.appendTo(answer.headers);
     co_return answer;
 }
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -2,13 +2,14 @@
 
 #include <galenarack/core/log.h>
 #include <galenarack/fleet/fleetview.h>
+#include <galenarack/fleet/revisiontracker.h>
 #include <galenarack/home/upstreampool.h>
 #include <galenarack/operators/metrics.h>
 #include <galenarack/peer/peersession.h>
 #include <galenarack/policy/admissionqueue.h>
 #include <galenarack/policy/connectbackoff.h>
-#include <galenarack/policy/grayfailurefilter.h>
 #include <galenarack/policy/drainschedule.h>
+#include <galenarack/policy/grayfailurefilter.h>
 #include <galenarack/policy/movingshare.h>
 #include <galenarack/policy/retryallowance.h>
 #include <galenarack/proxy/dialect.h>
@@ -33,13 +34,15 @@
     /// @param upstream address of the upstream on this VM
     /// @param responseBytes maximum size of all responses of the upstream in transit, in bytes
     /// @param retry fleet-wide limit on repeats
+    /// @param revisions learns the registry revisions of other nodes from their offers
     HomeService(boost::asio::any_io_executor executor,
                 boost::asio::ip::address vm,
                 const boost::asio::ip::tcp::endpoint &upstream,
                 const Dialect &dialect,
                 std::size_t responseBytes,
                 const RetryBound &retry,
-                const FleetView &view);
+                const FleetView &view,
+                RevisionTracker &revisions);
 
     /// Handles an offer. The response carries an OfferReport, unless the offer is malformed.
     boost::asio::awaitable<PeerResponse> handle(std::shared_ptr<PeerCall> call);
@@ -79,10 +82,10 @@
         bool expired = false; ///< The request can no longer end before its deadline.
         bool declined = false; ///< The upstream or the node is leaving.
         Offer offer;
+        TimePoint deadline; ///< Time after which a response has no value.
     };
 
     /// A request that the upstream is running.
-        TimePoint deadline; ///< Time after which a response has no value.
     struct Run
     {
         TimePoint started;
@@ -135,6 +138,7 @@
     boost::asio::ip::address vm;
     Dialect dialect;
     const FleetView &view;
+    RevisionTracker &revisions;
     UpstreamPool pool;
     AdmissionQueue queue;
     GrayFailureFilter grayFilter; ///< Health of the upstream named by observedUpstream since observedStartMs.
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view originField = "galenarack-origin"; ///< Same value on all offers of a connection, so HPACK can index it.
 constexpr std::string_view routeField = "galenarack-route";
 constexpr std::string_view reportField = "galenarack-report";
+constexpr std::string_view revisionField = "galenarack-revision"; ///< Changes seldom, so HPACK can index it.
 constexpr std::size_t offerParts = 8;
 constexpr std::size_t reportParts = 9;
 
@@ -94,6 +95,13 @@
 constexpr std::int64_t allowTrialFlag = 8;
 constexpr std::int64_t repeatFlag = 16;
 
+/// @return revision of the sender; 0 when the field is missing or malformed, as from nodes of an earlier release
+std::uint64_t readRevision(const HeaderList &headers)
+{
+    std::uint64_t revision = 0;
+    return absl::SimpleAtoi(toAbsl(headers.find(revisionField).value_or("")), &revision) ? revision : 0;
+}
+
 } // namespace
 
 std::string_view offerOutcomeName(OfferOutcome outcome)
@@ -127,6 +135,7 @@
         headers.add(routeField, this->route);
     }
     headers.add(originField, absl::StrCat(this->callerService, " ", this->failureDomain));
+    headers.add(revisionField, absl::StrCat(this->registryRevision));
 }
 
 absl::StatusOr<Offer> Offer::fromHeaders(const HeaderList &headers)
@@ -149,6 +158,7 @@
     offer.route = headers.find(routeField).value_or("");
     offer.callerService = originReader.text();
     offer.failureDomain = originReader.text();
+    offer.registryRevision = readRevision(headers);
     if (!offerReader.isValid() || !originReader.isValid()) {
         return makeError(ErrorKind::InvalidRequest, "offer from a peer has a missing or malformed header field");
     }
@@ -176,6 +186,7 @@
                              toMs(this->runDuration),
                              " ",
                              toMs(this->retryAfter)));
+    headers.add(revisionField, absl::StrCat(this->registryRevision));
 }
 
 std::optional<OfferReport> OfferReport::fromHeaders(const HeaderList &headers)
@@ -196,6 +207,7 @@
         return std::nullopt;
     }
     report.outcome = static_cast<OfferOutcome>(outcome);
+    report.registryRevision = readRevision(headers);
     return report;
 }
 
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -31,6 +31,7 @@
     Duration maxQueueWait{}; ///< Longest wait for a slot; the home declines the offer if it expects a longer one.
     std::string callerService; ///< Service of the VM that the request comes from.
     std::string failureDomain; ///< Failure domain of the ingress.
+    std::uint64_t registryRevision = 0; ///< Registry revision that the ingress has applied; 0 if unknown.
 
     /// Appends the offer to the header fields of a message.
     void appendTo(HeaderList &headers) const;
@@ -65,6 +66,7 @@
     UpstreamLoad load; ///< Load and health of the upstream.
     Duration runDuration{}; ///< Time that the upstream took for the request; zero if it was not run.
     Duration retryAfter{}; ///< Expected time until the home would accept such a request; zero if unknown.
+    std::uint64_t registryRevision = 0; ///< Registry revision that the home has applied; 0 if unknown.
 
     /// Appends the report to the header fields of a message.
     void appendTo(HeaderList &headers) const;
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -60,6 +60,7 @@
     , follower(context.get_executor(),
                this->registryClient,
                this->view,
+               this->revisions,
                FollowerSettings::forBounds(settings.bounds.registry, registrySettings(settings).replyTimeout),
                std::mt19937_64(this->random()))
     , home(context.get_executor(),
@@ -68,7 +69,8 @@
            this->dialect,
            settings.memoryBytes / transitMemoryShare,
            settings.bounds.retry,
-           this->view)
+           this->view,
+           this->revisions)
     , links(context.get_executor(),
             settings.peerAddress.port(),
             settings.memoryBytes / transitMemoryShare,
@@ -81,6 +83,7 @@
              this->view,
              this->home,
              this->links,
+             this->revisions,
              this->metrics,
              std::mt19937_64(this->random()))
     , callers(
@@ -89,7 +92,7 @@
               return this->callerLimits();
           },
           [this](CallerRequest request, std::shared_ptr<Cancellation> cancellation) {
-              return this->router.route(std::move(request), std::move(cancellation), this->follower.inContact());
+              return this->router.route(std::move(request), std::move(cancellation), this->follower.isCurrent());
           })
     , timer(context)
 {
@@ -151,6 +154,7 @@
             co_return;
         }
         const TimePoint now = NodeClock::now();
+        this->follower.tick(now);
         this->links.tick(now);
         this->home.tick(now);
         this->callers.tick(now);
--- a/galenarack/proxy/proxynode.h
+++ b/galenarack/proxy/proxynode.h
@@ -48,6 +48,7 @@
     std::mt19937_64 random;
     Dialect dialect;
     FleetView view;
+    RevisionTracker revisions;
     Platform::RegistryClient registryClient;
     RegistryFollower follower;
     Metrics metrics;
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -87,6 +87,7 @@
                              const FleetView &view,
                              HomeService &home,
                              PeerLinks &links,
+                             RevisionTracker &revisions,
                              Metrics &metrics,
                              std::mt19937_64 random)
     : executor(std::move(executor))
@@ -95,6 +96,7 @@
     , view(view)
     , home(home)
     , links(links)
+    , revisions(revisions)
     , metrics(metrics)
     , random(random)
     , placement(this->settings.failureDomain, std::mt19937_64(this->random()))
@@ -262,11 +264,11 @@
 
 void RequestRouter::logCutRequests(TimePoint now) const
 {
-    const auto milliseconds = [](Duration duration) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     if (!this->drainSchedule) {
         return;
     }
+    const auto milliseconds = [](Duration duration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     };
     for (const auto &context : this->open) {
         if (context->route == nullptr) {
@@ -434,6 +436,7 @@
     offer.maxQueueWait = target.maxQueueWait;
     offer.callerService = this->settings.service;
     offer.failureDomain = this->settings.failureDomain;
+    offer.registryRevision = this->revisions.applied();
     PeerRequest request;
     request.method = context.request.method;
     request.path = context.request.target;
@@ -495,6 +498,7 @@
         --upstream->outstanding;
     }
     if (attempt.report) {
+        this->revisions.onHeard(attempt.report->registryRevision, now);
         this->placement.report(attempt.upstream, attempt.report->load, now);
         if (attempt.report->outcome == OfferOutcome::Ejected) {
             this->placement.reportEjected(attempt.upstream, attempt.report->retryAfter, now);
@@ -635,14 +639,14 @@
         const bool isLate = timedOut || context.lastOutcome == OfferOutcome::TimedOut;
         return this->refuse(context, isLate ? ErrorKind::Timeout : ErrorKind::PeerLost, Duration::zero());
     }
-    const Duration wait = std::max(context.retryAfter, minRetryAfter);
-    return this->refuse(
-        context, context.lastOutcome == OfferOutcome::Expired || timedOut ? ErrorKind::Overloaded : ErrorKind::NoUpstream, wait);
-}
     const TimePoint now = NodeClock::now();
     if (!timedOut && !this->mayStart(context, now)) {
         return this->refuse(context, ErrorKind::Draining, std::max<Duration>(this->drainSchedule->exit - now, minRetryAfter));
     }
+    const Duration wait = std::max(context.retryAfter, minRetryAfter);
+    return this->refuse(
+        context, context.lastOutcome == OfferOutcome::Expired || timedOut ? ErrorKind::Overloaded : ErrorKind::NoUpstream, wait);
+}
 
 PeerResponse RequestRouter::refuse(const RequestContext &context, ErrorKind kind, Duration retryAfter) const
 {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -2,10 +2,11 @@
 
 #include <galenarack/core/log.h>
 #include <galenarack/fleet/fleetview.h>
+#include <galenarack/fleet/revisiontracker.h>
 #include <galenarack/ingress/requestforwarder.h>
 #include <galenarack/operators/metrics.h>
-#include <galenarack/policy/durationestimate.h>
 #include <galenarack/policy/drainschedule.h>
+#include <galenarack/policy/durationestimate.h>
 #include <galenarack/policy/placement.h>
 #include <galenarack/policy/weightedsplit.h>
 #include <galenarack/proxy/dialect.h>
@@ -43,6 +44,7 @@
                   const FleetView &view,
                   HomeService &home,
                   PeerLinks &links,
+                  RevisionTracker &revisions,
                   Metrics &metrics,
                   std::mt19937_64 random);
 
@@ -168,11 +170,11 @@
     /// @return whether one more attempt may send the request to an upstream
     bool mayRepeat(const RequestContext &context) const;
 
-    /// @return whether the request was released to a home that may run it and has not responded yet
-    bool isRunning(const RequestContext &context) const;
     /// @return false when the leaving node could stop before the request ends
     bool mayStart(const RequestContext &context, TimePoint now) const;
 
+    /// @return whether the request was released to a home that may run it and has not responded yet
+    bool isRunning(const RequestContext &context) const;
 
     bool hasOpenAttempt(const RequestContext &context) const;
 
@@ -192,6 +194,7 @@
     const FleetView &view;
     HomeService &home;
     PeerLinks &links;
+    RevisionTracker &revisions;
     Metrics &metrics;
     std::mt19937_64 random;
     Placement placement;
--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST_SUITE(RegistryTest);
     CPPUNIT_TEST(appliesRegistryChanges);
     CPPUNIT_TEST(followsChangesAfterUnansweredWatches);
+    CPPUNIT_TEST(followsChangesJustAfterFaults);
     CPPUNIT_TEST(removesUpstreamsWhileWatchesAreCut);
     CPPUNIT_TEST(keepsUpstreamsThatExpireInAnOutage);
     CPPUNIT_TEST(followsRegistryBesideOddEntries);
@@ -124,6 +125,61 @@
         }
     }
 
+    /// Guards against nodes that follow a change too late which was made just after a fault of the registry: the replies to their
+    /// watches were lost in the fault. The change must be in force as soon as the bounds hold again.
+    void followsChangesJustAfterFaults()
+    {
+        const struct
+        {
+            const char *name;
+            void (*disrupt)(PlatformFleet &);
+        } table[] = {
+            {"reply of one watch lost",
+             [](PlatformFleet &fleet) {
+                 fleet.registry.loseWatchReplies(1);
+                 fleet.publishConfig("/lost/");
+                 fleet.runFor(100ms);
+                 fleet.registry.loseWatchReplies(0);
+             }},
+            {"replies of all watches lost",
+             [](PlatformFleet &fleet) {
+                 fleet.registry.loseWatchReplies(nodeCount);
+                 fleet.publishConfig("/lost/");
+                 fleet.runFor(100ms);
+                 fleet.registry.loseWatchReplies(0);
+             }},
+            {"silent since a change",
+             [](PlatformFleet &fleet) {
+                 fleet.publishConfig("/lost/");
+                 fleet.runFor(100ms);
+                 fleet.registry.setSilent(true);
+                 fleet.runFor(1500ms);
+                 fleet.registry.setSilent(false);
+             }},
+            {"late since a change",
+             [](PlatformFleet &fleet) {
+                 fleet.publishConfig("/lost/");
+                 fleet.runFor(100ms);
+                 fleet.registry.setReplyDelay(3s);
+                 fleet.runFor(2s);
+                 fleet.registry.setReplyDelay(0ms);
+             }},
+        };
+        constexpr auto pause = 500ms;
+        for (const auto &row : table) {
+            PlatformFleet fleet(nodeCount);
+            CPPUNIT_ASSERT(fleet.startAll());
+            row.disrupt(fleet);
+            fleet.runFor(pause);
+            fleet.publishConfig("/next/");
+            fleet.runFor(settleTime - pause);
+            for (unsigned node = 0; node < nodeCount; ++node) {
+                const CallResult result = fleet.sendAndWait(node, "GET", "/next/x", "n" + std::to_string(node));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 200U, result.status);
+            }
+        }
+    }
+
     /// Guards against removed upstreams that stay in use while the registry cuts waiting watches, as when its processes are
     /// restarted one after the other, although it answers all calls.
     void removesUpstreamsWhileWatchesAreCut()
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/escaping.h>
 
+#include <cstdlib>
+
 #include <unistd.h>
 
 namespace Galenarack {
@@ -19,14 +21,22 @@
 constexpr const char *requestIdField = "Request-Id";
 constexpr const char *notRunField = "Not-Executed";
 
-Json makeRoute(const std::string &name, const std::string &prefix, const std::string &kind)
+Json makeRoute(const ConfiguredRoute &route)
 {
-    return {{"name", name},
-            {"kind", kind},
+    Json action = {{"timeout-ms", 4000}, {"max-attempts", 3}};
+    if (route.services.size() == 1) {
+        action["service"] = route.services.front();
+    } else {
+        for (const std::string &service : route.services) {
+            action["weighted-services"].push_back({{"service", service}, {"weight", 1}});
+        }
+    }
+    return {{"name", route.prefix.substr(1, route.prefix.size() - 2)},
+            {"kind", route.idempotent ? "safe" : "unsafe"},
             {"target-latency-ms", 500},
             {"priority", 1},
-            {"match", {{"prefix", prefix}}},
-            {"action", {{"service", "back"}, {"timeout-ms", 4000}, {"max-attempts", 3}}}};
+            {"match", {{"prefix", route.prefix}}},
+            {"action", action}};
 }
 
 } // namespace
@@ -81,6 +91,26 @@
     }
 }
 
+void RegistryStandIn::setLostShare(double share)
+{
+    this->lostShare = share;
+}
+
+void RegistryStandIn::setReplyDelay(std::chrono::milliseconds delay)
+{
+    this->replyDelay = delay;
+}
+
+void RegistryStandIn::setRejection(unsigned status)
+{
+    this->rejection = status;
+}
+
+void RegistryStandIn::forgetHistory()
+{
+    this->historyStart = this->revision;
+}
+
 void RegistryStandIn::setPageSize(std::size_t items)
 {
     this->pageSize = items;
@@ -129,6 +159,22 @@
     if (this->silent) {
         co_await this->waitForever();
     }
+    if (this->rejection != 0) {
+        co_return makeResponse(request, this->rejection, "application/json", "{}");
+    }
+    HttpResponse response = co_await this->read(request);
+    if (this->replyDelay > std::chrono::milliseconds::zero()) {
+        asio::steady_timer timer(this->context);
+        co_await sleepFor(timer, this->replyDelay);
+    }
+    if (std::bernoulli_distribution(this->lostShare)(this->random)) {
+        co_await this->waitForever();
+    }
+    co_return response;
+}
+
+asio::awaitable<HttpResponse> RegistryStandIn::read(const HttpRequest &request)
+{
     const Target target(std::string_view(request.target().data(), request.target().size()));
     if (target.path == "/-/kv-watch") {
         co_return co_await this->watch(request, target);
@@ -151,6 +197,9 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(target.parameter("wait-ms", "0")));
     asio::steady_timer timer(this->context);
     Json events = Json::array();
+    if (after < this->historyStart) {
+        co_return makeResponse(request, 410, "application/json", "{}");
+    }
     while (events.empty() && std::chrono::steady_clock::now() < end && this->reachable) {
         if (this->silent) {
             co_await this->waitForever();
@@ -182,7 +231,8 @@
     this->server.setFaultChooser([this](const HttpResponse &response, std::size_t size) {
         this->responseBytes = size;
         const bool isRejection = response.count(notRunField) != 0;
-        return ResponseFault{this->behaviour.repeatsRejections && isRejection, this->behaviour.sentBytes};
+        return ResponseFault{this->behaviour.repeatsResponses || (this->behaviour.repeatsRejections && isRejection),
+                             this->behaviour.sentBytes};
     });
     this->server.open();
 }
@@ -286,7 +336,7 @@
 
 void PlatformFleet::publishEntry(unsigned node, const std::string &state)
 {
-    const Json entry = {{"service", node % 2 == 0 ? "front" : "back"},
+    const Json entry = {{"service", serviceOf(node)},
                         {"address", this->upstreams[node]->address()},
                         {"zone", node < this->nodeCount / 2 ? "a" : "b"},
                         {"version", "v1"},
@@ -300,14 +350,25 @@
 
 void PlatformFleet::publishConfig(const std::string &readPrefix)
 {
+    const ConfiguredRoute routes[] = {{readPrefix, {"back"}, true}, {"/write/", {"back"}, false}};
+    this->publishRoutes(routes);
+}
+
+void PlatformFleet::publishRoutes(std::span<const ConfiguredRoute> routes)
+{
+    Json rules = Json::array();
+    for (const ConfiguredRoute &route : routes) {
+        rules.push_back(makeRoute(route));
+    }
     std::string digits(8, '0');
     std::snprintf(digits.data(), digits.size() + 1, "%08x", static_cast<unsigned>(this->version++));
     const Json config
         = {{"version", digits},
            {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 1048576}, {"header-timeout-ms", 3000}, {"idle-timeout-ms", 15000}}},
-           {"listeners",
-            {{{"host", "fleet.example"}, {"rules", {makeRoute("read", readPrefix, "safe"), makeRoute("write", "/write/", "unsafe")}}}}},
-           {"clusters", {{{"name", "back"}, {"health-path", "/healthz"}, {"max-connections", 100}}}}};
+           {"listeners", {{{"host", "fleet.example"}, {"rules", rules}}}},
+           {"clusters",
+            {{{"name", "back"}, {"health-path", "/healthz"}, {"max-connections", 100}},
+             {{"name", "front"}, {"health-path", "/healthz"}, {"max-connections", 100}}}}};
     this->registry.put("op/config", config.dump());
 }
 
@@ -317,6 +378,7 @@
     const auto address = [&vm, this](unsigned offset) {
         return vm + ":" + std::to_string(this->basePort + offset);
     };
+    const char *otherBuild = std::getenv("GALENARACK_SOAK_DAEMON");
     const auto relayed = [this, node](Path path) {
         return endpointText(this->relays[node][static_cast<std::size_t>(path)]->address());
     };
@@ -331,8 +393,10 @@
            "--home_upstreams=" + std::string(node % 2 == 0 ? "front" : "back") + "=" + relayed(Path::Upstream),
            "--registry=" + relayed(Path::Registry),
            "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
-    this->processes[node] = std::make_unique<ChildProcess>(
-        programPath("galenarackd"), arguments, this->folder.path() / ("node-" + std::to_string(node) + ".log"));
+    this->processes[node]
+        = std::make_unique<ChildProcess>(otherBuild != nullptr ? std::filesystem::path(otherBuild) : programPath("galenarackd"),
+                                         arguments,
+                                         this->folder.path() / ("node-" + std::to_string(node) + ".log"));
 }
 
 bool PlatformFleet::startAll()
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -13,7 +13,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,18 @@
     /// Closes all connections, and with them the watches, and accepts new ones at once. Does nothing while it is unreachable.
     void cutWatches();
 
+    /// Loses this share of all replies, 0 to 1. A connection on which a reply is lost returns nothing further.
+    void setLostShare(double share);
+
+    /// Sends each reply this much later.
+    void setReplyDelay(std::chrono::milliseconds delay);
+
+    /// Answers all calls with this status and does nothing else; 0 ends this.
+    void setRejection(unsigned status);
+
+    /// Discards the history: watches from an earlier revision are answered 410.
+    void forgetHistory();
+
     /// Sets the maximum number of items in a reply to a range read.
     void setPageSize(std::size_t items);
 
@@ -66,6 +80,7 @@
     };
 
     boost::asio::awaitable<StandIns::HttpResponse> answer(const StandIns::HttpRequest &request);
+    boost::asio::awaitable<StandIns::HttpResponse> read(const StandIns::HttpRequest &request);
     boost::asio::awaitable<StandIns::HttpResponse> watch(const StandIns::HttpRequest &request, const StandIns::Target &target);
     nlohmann::json readRange(const StandIns::Target &target) const;
     /// Waits until the stand-in is destroyed.
@@ -78,6 +93,11 @@
     std::uint64_t revision = 1;
     bool reachable = true;
     bool silent = false;
+    std::mt19937 random; ///< Chooses the replies that are lost.
+    double lostShare = 0;
+    std::chrono::milliseconds replyDelay{};
+    unsigned rejection = 0; ///< Status of all replies, or 0.
+    std::uint64_t historyStart = 0; ///< Revision before which the history is gone.
     unsigned lostReplies = 0; ///< Number of replies to watches that are still to be lost.
     std::size_t pageSize = 500;
     unsigned calls = 0;
@@ -91,6 +111,7 @@
     bool rejects = false; ///< Whether it rejects requests with Not-Executed, without running them.
     bool rejectsFirstArrivals = false; ///< Whether it rejects the first arrival of each request with Not-Executed.
     bool repeatsRejections = false; ///< Whether a second copy of a rejection precedes the next response on its connection.
+    bool repeatsResponses = false; ///< The same for all responses.
     bool dropsResponses = false; ///< Whether it runs requests and closes the connection before the response.
     std::optional<std::size_t> sentBytes{}; ///< Number of bytes of each response that it sends before it closes the connection.
 };
@@ -122,6 +143,14 @@
     StandIns::HttpServer server;
 };
 
+/// A route of a configuration.
+struct ConfiguredRoute
+{
+    std::string prefix; ///< Path prefix, with a slash at both ends.
+    std::vector<std::string> services; ///< Services that share the requests evenly.
+    bool idempotent = true;
+};
+
 /// Outcome of one request as its caller observed it.
 struct CallResult
 {
@@ -197,6 +226,15 @@
     /// @param readPrefix path prefix of the idempotent route
     void publishConfig(const std::string &readPrefix);
 
+    /// The same with other routes.
+    void publishRoutes(std::span<const ConfiguredRoute> routes);
+
+    /// @return service of a node's upstream
+    static std::string serviceOf(unsigned node)
+    {
+        return node % 2 == 0 ? "front" : "back";
+    }
+
     /// Writes the registry entry of a node's upstream.
     /// @param state "ready" or "draining"
     void publishEntry(unsigned node, const std::string &state);
--- a/unittests/followersettingstest.cpp
+++ b/unittests/followersettingstest.cpp
@@ -37,6 +37,12 @@
             CPPUNIT_ASSERT_MESSAGE(row.name, settings.batchPauseMax < row.bounds.applyTime / 2);
             // Two of the three check-ins of 1.5 s after which an entry expires lie within the outage.
             CPPUNIT_ASSERT_MESSAGE(row.name, settings.probeInterval + row.replyTimeout < 3s);
+            // A probe in the first time of a watch finds a silent registry, and the complete read ends before the bounds hold again.
+            const Duration readAfterSilence = settings.youngProbeInterval + row.replyTimeout + settings.retryMax;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, readAfterSilence < row.bounds.settleTime);
+            // A watch that is older than its first time at the end of a fault fails by its own time-out before the bounds hold again.
+            const Duration oldWatchFails = settings.watchWait + row.replyTimeout - settings.youngWatchTime;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, oldWatchFails < row.bounds.settleTime);
             // After an outage that was noticed, the deferral of removals begins with the first call that succeeds.
             const Duration reached = row.replyTimeout + settings.retryMax;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -24,6 +24,7 @@
     offer.maxQueueWait = 80ms;
     offer.callerService = "reports";
     offer.failureDomain = "a";
+    offer.registryRevision = 9'000'000'000;
     return offer;
 }
 
@@ -55,6 +56,7 @@
         CPPUNIT_ASSERT(offer->expected == Duration(320ms) && offer->maxQueueWait == Duration(80ms));
         CPPUNIT_ASSERT_EQUAL(std::string("reports"), offer->callerService);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), offer->failureDomain);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'000'000'000}, offer->registryRevision);
 
         Offer plain = sample();
         plain.idempotent = plain.allowTrial = plain.isRepeat = plain.allowUnhealthy = false;
