Refuse work that outlasts the drain timeout of a node

Change: a leaving node answers 503 draining, not run, when the deadline of a request is later than 0.5 s before the end of the drain timeout.

Tests: LeavingTest::leavingNodeTakesNoWorkThatItWouldCut; before: connection lost 2.7 s after the request.

--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -185,6 +185,9 @@
         allowed = std::chrono::milliseconds(std::max<std::int64_t>(*timeout, 1));
     }
     context.deadline = context.started + allowed;
+    if (this->drainEnd && context.deadline > *this->drainEnd) {
+        return makeError(ErrorKind::Draining, "the node stops before the deadline of the request");
+    }
     context.repeatable = context.route->isRepeatable(context.request.method);
     if (context.repeatable) {
         return absl::OkStatus();
--- a/galenarack/ingress/requestforwarder.h
+++ b/galenarack/ingress/requestforwarder.h
@@ -53,6 +53,12 @@
     /// @return the response for the caller; errors are problem+json (RFC 9457)
     boost::asio::awaitable<PeerResponse> forward(CallerRequest request, std::shared_ptr<Cancellation> cancellation);
 
+    /// Called when the node is leaving: from now on refuses requests whose deadline is after `end`, since the process could cut them.
+    void drainUntil(TimePoint end)
+    {
+        this->drainEnd = end;
+    }
+
     /// Issues an idempotency key that is bound to a home which can be reached at this time.
     /// @param keyedRequest the request that the key is for: its method and target determine the route, its headers the account
     /// @return the response with the key, or an error when no home of the service can be reached
@@ -132,6 +138,7 @@
     UpstreamDirectory &directory;
     Metrics &metrics;
     AccountLimiter limiter;
+    std::optional<TimePoint> drainEnd; ///< Set while the node is leaving; requests have to end before this time.
     std::mt19937_64 random;
     KeyGenerator keyGenerator;
     std::map<std::string, RetryBudget, std::less<>> budgets; ///< Retry budgets by service name.
--- a/galenarack/node/node.cpp
+++ b/galenarack/node/node.cpp
@@ -24,6 +24,9 @@
 /// Time for callers and peers to learn that the node leaves, before it stops accepting connections.
 constexpr Duration announceDuration = std::chrono::milliseconds(1500);
 
+/// Time between the deadline of the last work and the end of a leaving process, in which the responses are sent.
+constexpr Duration lastResponseTime = std::chrono::milliseconds(500);
+
 /// Maximum number of connections from other nodes. Caller connections have their own limit, so memory use is bounded.
 constexpr std::size_t peerConnectionLimit = 2048;
 
@@ -173,6 +176,7 @@
     this->audit.append(std::move(record));
 
     this->home.drain();
+    this->forwarder.drainUntil(this->drainStarted + this->settings.drainTimeout - lastResponseTime);
     this->ingress.drain();
     this->gossip.setLeaving();
     this->peerServer.drain();
--- a/processtests/leavingtest.cpp
+++ b/processtests/leavingtest.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(LeavingTest);
     CPPUNIT_TEST(drainCutsNoResponseAndStopsNewWork);
+    CPPUNIT_TEST(leavingNodeTakesNoWorkThatItWouldCut);
     CPPUNIT_TEST(rollingReplacementKeepsGuarantees);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +79,38 @@
         }
     }
 
+    /// Guards against requests that a leaving node takes and cuts, because their work outlasts its drain timeout, and against refusals
+    /// of requests that surely end in time.
+    void leavingNodeTakesNoWorkThatItWouldCut()
+    {
+        struct Row
+        {
+            const char *name;
+            const char *timeoutMs; ///< Timeout that the caller sends.
+            const char *upstreamSettings;
+            unsigned status;
+        };
+        const Row rows[] = {{"outlasts the drain", "5000", R"({"base_delay_ms": 4000})", 503},
+                            {"ends in time", "1000", R"({"base_delay_ms": 100})", 200}};
+        for (const Row &row : rows) {
+            FleetOptions options;
+            options.drainTimeoutSeconds = 3;
+            FleetFixture fleet(options);
+            fleet.configureUpstream("all", row.upstreamSettings);
+            fleet.node(1).signal(SIGTERM);
+            std::this_thread::sleep_for(300ms);
+            TestRequest lodging;
+            lodging.method = "POST";
+            lodging.target = "/lodging";
+            lodging.headers = {{"Galenarack-Timeout-Ms", row.timeoutMs}};
+            const TestReply reply = fleet.callAsync(1, lodging).get();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name + (": " + reply.describe()), row.status, reply.status);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.node(1).wait(10s) == 0);
+            const nlohmann::json runs = fleet.runs();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name + runs.dump(), std::size_t{row.status == 200}, runs["runs"].size());
+        }
+    }
+
     /// Guards against violations of the guarantees during a rolling restart of all nodes, with callers that send failed requests
     /// again as the responses allow.
     void rollingReplacementKeepsGuarantees()
--- a/processtests/support/fleetfixture.cpp
+++ b/processtests/support/fleetfixture.cpp
@@ -133,6 +133,7 @@
         "--peer_address=" + joinAddress(this->address(node), peerPort),
         "--operators_address=" + this->operatorsAddress(node),
         "--home_upstreams=" + upstreams,
+        "--drain_timeout_s=" + std::to_string(this->settings.drainTimeoutSeconds),
         "--config_service=" + this->configProcess->addresses()["listen"][node].get<std::string>(),
     };
     this->nodes[node].reset();
--- a/processtests/support/fleetfixture.h
+++ b/processtests/support/fleetfixture.h
@@ -16,6 +16,7 @@
     unsigned nodes = 3; ///< Number of nodes.
     unsigned slots = 8; ///< Slots of each upstream.
     unsigned deadlineMs = 5000; ///< Deadline of each route, in milliseconds.
+    unsigned drainTimeoutSeconds = 30; ///< Longest time that a node takes to leave, in seconds.
     unsigned failureDomains = 1; ///< Node i is in domain i modulo this number. With one domain, every ingress uses every upstream.
     std::string upstreamSettings = R"({"base_delay_ms": 5, "slots": 8})"; ///< Settings of all upstreams, see standins/upstream.
     bool relayPeers = false; ///< Whether each node reaches each other node through a separate relay.
