Probe a watch that starts while the probe loop sleeps

Cause: read, not shown by a run. Without a watch the loop slept for probeInterval, 2 s, so a watch that began in that time could miss the probes of its first time.

Change: it sleeps for the interval of a young watch.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -54,7 +54,8 @@
         const TimePoint start = NodeClock::now();
         const TimePoint due = this->nextProbe();
         if (!this->watching || start < due) {
-            this->probeTimer.expires_after(this->watching ? due - start : this->settings.probeInterval);
+            // A watch that starts meanwhile is due for a probe after this time at the earliest.
+            this->probeTimer.expires_after(this->watching ? due - start : this->settings.youngProbeInterval);
             co_await this->probeTimer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
