--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -218,8 +218,8 @@
                 this->cancelAttempts(*context);
                 co_return this->respond(*context, *attempt);
             }
-            const bool mayStart = step == NextStep::TryNext && now < context->deadline;
-            const bool isAnyOpen = (mayStart && this->startAttempt(context, false)) || this->hasOpenAttempt(*context);
+            const bool mayTryNext = step == NextStep::TryNext && now < context->deadline;
+            const bool isAnyOpen = (mayTryNext && this->startAttempt(context, false)) || this->hasOpenAttempt(*context);
             if (!isAnyOpen) {
                 co_return this->fail(*context, now >= context->deadline);
             }
