Log what an upstream says of itself in its answers

The home reads Server-Limit and Server-Leaving from the header of each response to its own request, also when the body never arrives, and logs their changes. Nothing acts on them yet. A misdirected response is of another upstream and tells nothing.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -202,7 +202,7 @@
     ByteReservation reservation(this->budget, [&stream] {
         stream.close();
     });
-    if (const auto error = co_await this->readResponse(*connection, reservation, buffer, reader, request, requestId)) {
+    if (const auto error = co_await this->readResponse(*connection, reservation, buffer, reader, request, requestId, call)) {
         co_return reservation.isDropped()
             ? makeError(ErrorKind::UpstreamAnswerTooLarge, "the responses in transit exceed their size limit, and this is the largest")
             : readError(error, deadline);
@@ -230,16 +230,22 @@
                                                               beast::flat_buffer &buffer,
                                                               std::optional<Reader> &reader,
                                                               const PeerRequest &request,
-                                                              std::string_view requestId) const
+                                                              std::string_view requestId,
+                                                              const UpstreamCall &call) const
 {
     for (unsigned skipped = 0; skipped <= skippedResponseLimit; ++skipped) {
         reader.emplace();
         reader->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
         reader->body_limit(this->limits.bodyBytes);
         reader->skip(request.method == "HEAD");
+        bool isHeaderReported = false;
         while (!reader->is_done()) {
             const auto [error, length] = co_await http::async_read_some(connection.stream, buffer, *reader, awaitTuple);
             reservation.resize(reader->get().body().capacity() + buffer.capacity());
+            if (!isHeaderReported && reader->is_header_done()) {
+                isHeaderReported = true;
+                this->reportHeader(*reader, requestId, call);
+            }
             if (error) {
                 co_return error;
             }
@@ -256,6 +262,23 @@
     co_return http::error::bad_status;
 }
 
+void UpstreamPool::reportHeader(const Reader &reader, std::string_view requestId, const UpstreamCall &call) const
+{
+    const std::size_t echoCount = reader.get().count(this->limits.requestIdField);
+    const bool isIdentified = echoCount == 1 || (echoCount == 0 && (requestId.empty() || !this->limits.alwaysEchoesId));
+    if (!call.onHeader || !isIdentified || isInterim(reader.get().result_int()) || this->echoesOtherId(reader, requestId)) {
+        return;
+    }
+    HeaderList notices;
+    for (const std::string &name : this->limits.noticeFields) {
+        const auto [first, last] = reader.get().equal_range(name);
+        for (auto field = first; field != last; ++field) {
+            notices.add(name, std::string_view(field->value().data(), field->value().size()));
+        }
+    }
+    call.onHeader(reader.get().result_int(), notices);
+}
+
 bool UpstreamPool::echoesOtherId(const Reader &reader, std::string_view requestId) const
 {
     if (reader.get().count(this->limits.requestIdField) != 1) {
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -33,6 +33,7 @@
     Duration connectTimeout = std::chrono::milliseconds(250); ///< Time-out of opening a connection.
     Duration idleTimeout = std::chrono::seconds(15); ///< Longest idle time after which a connection is still reused.
     std::string requestIdField = std::string(PeerHeader::requestId); ///< Field in which the upstream echoes the id of a request.
+    std::vector<std::string> noticeFields{}; ///< Fields with which an upstream tells of itself in a response, in lower case.
     /// Whether the upstream echoes the id in every response. If so, a response to an earlier request is skipped, bytes after
     /// the response are dropped with the connection, and a response without a length is complete when its connection ends.
     bool alwaysEchoesId = false;
@@ -42,6 +43,9 @@
 struct UpstreamCall
 {
     std::function<void()> abort; ///< Aborts the request; empty while no request is in progress.
+    /// Called once the header of the response to the request has been read, also when the rest of the response is never received or is
+    /// not valid; may be empty. `notices` are the fields of the header that UpstreamLimits::noticeFields names.
+    std::function<void(unsigned status, const HeaderList &notices)> onHeader;
 };
 
 /// Pool of persistent HTTP/1.1 connections from the home to one upstream.
@@ -87,7 +91,10 @@
                                                                   boost::beast::flat_buffer &buffer,
                                                                   std::optional<Reader> &reader,
                                                                   const PeerRequest &request,
-                                                                  std::string_view requestId) const;
+                                                                  std::string_view requestId,
+                                                                  const UpstreamCall &call) const;
+    /// Passes the header to the handle, if it is that of the response to this request.
+    void reportHeader(const Reader &reader, std::string_view requestId, const UpstreamCall &call) const;
     absl::Status checkResponse(const Reader &reader, std::size_t bytesAfter, std::string_view requestId) const;
     /// @return whether the response echoes exactly one id, and it is that of another request
     bool echoesOtherId(const Reader &reader, std::string_view requestId) const;
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -84,6 +84,7 @@
     limits.totalBytes = responseBytes;
     limits.requestIdField = dialect.requestId;
     limits.alwaysEchoesId = true;
+    limits.noticeFields = {dialect.requestLimit, dialect.leaving};
     return limits;
 }
 
@@ -174,6 +175,7 @@
         this->grayFilter = GrayFailureFilter(now);
         this->connectPause.onSuccess();
         this->slowness = 1;
+        this->notice = UpstreamNotice();
     }
 }
 
@@ -351,6 +353,12 @@
             }
         });
     }
+    upstreamCall.onHeader = [this, &offer](unsigned status, const HeaderList &notices) {
+        // A misdirected request was answered by another upstream at the same address.
+        if (status != misdirected) {
+            this->onNotice(offer.upstream, UpstreamNotice::fromHeaders(notices, this->dialect));
+        }
+    };
     auto response = co_await this->pool.request(request, offer.requestId, deadline, upstreamCall);
     call.cancellation.setAction(nullptr);
     const TimePoint now = NodeClock::now();
@@ -432,6 +440,22 @@
     }
 }
 
+void HomeService::onNotice(std::string_view upstream, const UpstreamNotice &notice)
+{
+    if (upstream != this->observedUpstream || notice == this->notice) {
+        return;
+    }
+    this->log.info("upstream notice",
+                   {{"upstream", upstream},
+                    {"limit", notice.limit.value_or(-1)},
+                    {"limit_before", this->notice.limit.value_or(-1)},
+                    {"leaving", notice.leaving ? "yes" : "no"},
+                    {"leaving_before", this->notice.leaving ? "yes" : "no"},
+                    {"running", static_cast<std::int64_t>(this->queue.running())},
+                    {"waiting", static_cast<std::int64_t>(this->queue.waiting())}});
+    this->notice = notice;
+}
+
 void HomeService::observe(std::string_view failureDomain, RequestEvidence evidence, std::string_view requestId, TimePoint now)
 {
     const std::string_view before = healthStateName(this->grayFilter.grayProbability(failureDomain, now));
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -14,6 +14,7 @@
 #include <galenarack/policy/retryallowance.h>
 #include <galenarack/proxy/dialect.h>
 #include <galenarack/proxy/offer.h>
+#include <galenarack/proxy/upstreamnotice.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -131,6 +132,9 @@
     /// Discards the health state when the upstream was replaced or has started again.
     void resetHealthOnRestart(const UpstreamEntry &own, TimePoint now);
 
+    /// Handles what the upstream said of itself in a response to a request that was offered to `upstream`.
+    void onNotice(std::string_view upstream, const UpstreamNotice &notice);
+
     void observe(std::string_view failureDomain, RequestEvidence evidence, std::string_view requestId, TimePoint now);
     const UpstreamEntry *entry() const;
 
@@ -142,6 +146,7 @@
     UpstreamPool pool;
     AdmissionQueue queue;
     GrayFailureFilter grayFilter; ///< Health of the upstream named by observedUpstream since observedStartMs.
+    UpstreamNotice notice; ///< Latest notice of that upstream.
     std::string observedUpstream; ///< Id of the upstream that the health state belongs to.
     std::int64_t observedStartMs = 0; ///< Start time of that upstream, Unix time in ms.
     ConnectBackoff connectPause;
