--- /dev/null
+++ b/processtests/noticetest.cpp
@@ -0,0 +1,274 @@
+#include "support/noticejudge.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <functional>
+#include <set>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned nodeCount = 8;
+constexpr auto requestTimeout = 2500ms;
+
+/// A fleet with callers at every node, whose requests and answers are recorded for the judge.
+class NoticeFleet
+{
+public:
+    using Clock = NoticeJudge::Clock;
+
+    NoticeFleet()
+        : fleet(nodeCount)
+    {
+        CPPUNIT_ASSERT(this->fleet.startAll());
+    }
+
+    ~NoticeFleet()
+    {
+        this->stopCallers();
+    }
+
+    NoticeFleet(const NoticeFleet &) = delete;
+    NoticeFleet &operator=(const NoticeFleet &) = delete;
+
+    /// Starts callers that send a request, wait for the answer and pause, until stopCallers().
+    void startCallers(unsigned perNode, std::chrono::milliseconds pause)
+    {
+        for (unsigned node = 0; node < nodeCount; ++node) {
+            for (unsigned caller = 0; caller < perNode; ++caller) {
+                ++this->callers;
+                asio::co_spawn(
+                    this->fleet.context,
+                    [this, node, caller, pause]() -> asio::awaitable<void> {
+                        asio::steady_timer timer(this->fleet.context);
+                        while (!this->stopping) {
+                            co_await this->sendOne(node, caller % 2 == 0);
+                            co_await StandIns::sleepFor(timer, pause);
+                        }
+                        --this->callers;
+                    },
+                    asio::detached);
+            }
+        }
+    }
+
+    void stopCallers()
+    {
+        this->stopping = true;
+        while (this->callers > 0) {
+            this->fleet.runFor(20ms);
+        }
+    }
+
+    asio::awaitable<void> sendOne(unsigned node, bool isIdempotent)
+    {
+        const std::string id = "n" + std::to_string(this->nextId++);
+        this->judge.onSent(id, node, Clock::now());
+        const CallResult result
+            = co_await this->fleet.send(node, isIdempotent ? "GET" : "POST", isIdempotent ? "/read/x" : "/write/x", id, requestTimeout);
+        this->hasPassedOnNotice = this->hasPassedOnNotice || result.hasNotice;
+        this->statuses[result.status] += 1;
+        for (unsigned upstream = 0; upstream < nodeCount; ++upstream) {
+            const PlatformUpstream &record = *this->fleet.upstreams[upstream];
+            if (const auto notice = record.notices.find(id); notice != record.notices.end() && result.seal == "seal-" + record.id) {
+                this->judge.onPassedOn(node, upstream, notice->second, Clock::now());
+            }
+        }
+    }
+
+    void killAndStart(unsigned node)
+    {
+        this->judge.onDisturbed(node, NoticeJudge::Disturbance::RestartOrFreeze, Clock::now());
+        this->fleet.processes[node]->kill();
+        this->fleet.startNode(node);
+    }
+
+    /// @return requests that have reached an upstream so far
+    std::size_t arrivals(unsigned upstream) const
+    {
+        return this->fleet.upstreams[upstream]->arrivals.size();
+    }
+
+    std::string violationText() const
+    {
+        std::string text;
+        for (const std::string &violation : this->judge.violations(this->fleet.upstreams)) {
+            text += "\n" + violation;
+        }
+        return text;
+    }
+
+    PlatformFleet fleet;
+    NoticeJudge judge;
+    std::map<unsigned, unsigned> statuses; ///< Number of answers by status.
+    bool hasPassedOnNotice = false;
+
+private:
+    unsigned nextId = 0;
+    unsigned callers = 0;
+    bool stopping = false;
+};
+
+std::vector<std::string> limitOf(const char *value)
+{
+    return {value};
+}
+
+} // namespace
+
+/// What nodes do with what upstreams say of themselves in their answers.
+class NoticeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NoticeTest);
+    CPPUNIT_TEST(limitedUpstreamGetsNoMoreThanItTakes);
+    CPPUNIT_TEST(malformedLimitIsNoLimit);
+    CPPUNIT_TEST(endedLimitIsNoticed);
+    CPPUNIT_TEST(rejectsAtOnceWhenNoLimitHasRoom);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against an upstream that gets more requests than the limit allows that it names, whatever its home, the other nodes and
+    /// the limit itself do meanwhile.
+    void limitedUpstreamGetsNoMoreThanItTakes()
+    {
+        const struct
+        {
+            const char *name;
+            const char *limit;
+            std::function<void(NoticeFleet &, unsigned upstream)> disturb; ///< Called 4 s after the limit was named.
+        } table[] = {
+            {"steady", "2.5", [](NoticeFleet &, unsigned) {}},
+            {"below one a second", "0.8", [](NoticeFleet &, unsigned) {}},
+            {"home killed",
+             "2",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.killAndStart(upstream);
+             }},
+            {"limit falls",
+             "8",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.upstreams[upstream]->behaviour.limits = limitOf("1");
+             }},
+            {"limit falls to 0",
+             "3",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.upstreams[upstream]->behaviour.limits = limitOf("0");
+             }},
+            {"rejects and loses answers",
+             "2",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.upstreams[upstream]->behaviour.rejectsFirstArrivals = true;
+             }},
+        };
+        for (const auto &row : table) {
+            NoticeFleet fleet;
+            // One upstream of three keeps serving without a limit.
+            const unsigned limited = fleet.fleet.backNodes().front();
+            fleet.fleet.upstreams[limited]->behaviour.limits = limitOf(row.limit);
+            fleet.fleet.upstreams[fleet.fleet.backNodes()[1]]->behaviour.limits = limitOf(row.limit);
+            fleet.startCallers(4, 40ms);
+            fleet.fleet.runFor(4s);
+            row.disturb(fleet, limited);
+            fleet.fleet.runFor(6s);
+            fleet.stopCallers();
+            const std::string violations = fleet.violationText();
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.judge.limitedCount() > 0);
+            CPPUNIT_ASSERT_MESSAGE(row.name + violations, violations.empty());
+            CPPUNIT_ASSERT_MESSAGE(row.name, !fleet.hasPassedOnNotice);
+        }
+    }
+
+    /// Guards against an upstream that gets nothing, or a node that ends, because of a limit that is no number.
+    void malformedLimitIsNoLimit()
+    {
+        const struct
+        {
+            const char *name;
+            std::vector<std::string> limits;
+        } table[] = {{"word", {"few"}},
+                     {"negative", {"-3"}},
+                     {"huge", {"99999999999999999999999999999999999999"}},
+                     {"not a number", {"nan"}},
+                     {"exponent", {"1e-9"}},
+                     {"empty", {""}},
+                     {"two values", {"0", "50"}}};
+        NoticeFleet fleet;
+        const unsigned odd = fleet.fleet.backNodes().front();
+        fleet.startCallers(2, 40ms);
+        for (const auto &row : table) {
+            fleet.fleet.upstreams[odd]->behaviour.limits = row.limits;
+            fleet.fleet.runFor(600ms);
+            const std::size_t before = fleet.arrivals(odd);
+            fleet.fleet.runFor(1s);
+            CPPUNIT_ASSERT_MESSAGE(row.name + std::string(": ") + std::to_string(fleet.arrivals(odd) - before),
+                                   fleet.arrivals(odd) - before >= 15);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.fleet.processes[odd]->isRunning());
+        }
+    }
+
+    /// Guards against an upstream that stays without requests after its limit has ended or risen, also when it took none at all.
+    void endedLimitIsNoticed()
+    {
+        const struct
+        {
+            const char *name;
+            const char *limit;
+            std::vector<std::string> next; ///< Limits afterwards.
+        } table[] = {{"ends", "1", {}}, {"0 ends", "0", {}}, {"0 rises", "0", {"100"}}, {"tiny ends", "0.01", {}}};
+        for (const auto &row : table) {
+            NoticeFleet fleet;
+            const unsigned limited = fleet.fleet.backNodes().front();
+            fleet.fleet.upstreams[limited]->behaviour.limits = limitOf(row.limit);
+            fleet.startCallers(2, 40ms);
+            fleet.fleet.runFor(5s);
+            fleet.fleet.upstreams[limited]->behaviour.limits = row.next;
+            fleet.fleet.runFor(4s);
+            const std::size_t before = fleet.arrivals(limited);
+            fleet.fleet.runFor(1s);
+            fleet.stopCallers();
+            CPPUNIT_ASSERT_MESSAGE(row.name + std::string(": ") + std::to_string(fleet.arrivals(limited) - before),
+                                   fleet.arrivals(limited) - before >= 15);
+            const std::string violations = fleet.violationText();
+            CPPUNIT_ASSERT_MESSAGE(row.name + violations, violations.empty());
+        }
+    }
+
+    /// Guards against requests that wait until their deadline although no upstream can take them in time, and against a Retry-After
+    /// that says nothing of the limits.
+    void rejectsAtOnceWhenNoLimitHasRoom()
+    {
+        NoticeFleet fleet;
+        for (const unsigned upstream : fleet.fleet.backNodes()) {
+            fleet.fleet.upstreams[upstream]->behaviour.limits = limitOf("0.2");
+        }
+        // Names the limits and takes what they allow at first.
+        fleet.startCallers(2, 40ms);
+        fleet.fleet.runFor(5s);
+        fleet.stopCallers();
+        unsigned refused = 0;
+        for (unsigned i = 0; i < 20; ++i) {
+            const auto start = std::chrono::steady_clock::now();
+            const CallResult result = fleet.fleet.sendAndWait(i % nodeCount, "POST", "/write/x", "late" + std::to_string(i));
+            const auto took = std::chrono::steady_clock::now() - start;
+            if (result.status != 503) {
+                continue;
+            }
+            ++refused;
+            CPPUNIT_ASSERT(took < 300ms);
+            // Each limit has room once in 5 s, for higher priorities first.
+            const double retryAfter = result.retryAfter.empty() ? 0 : std::stod(result.retryAfter);
+            CPPUNIT_ASSERT_MESSAGE(result.retryAfter, retryAfter > 0.2 && retryAfter <= 30);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused), refused >= 10);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("answers without a promise", 0U, fleet.statuses[504] + fleet.statuses[502]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NoticeTest);
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <unistd.h>
@@ -20,6 +21,9 @@
 
 constexpr const char *requestIdField = "Request-Id";
 constexpr const char *notRunField = "Not-Executed";
+constexpr const char *limitField = "Server-Limit";
+constexpr const char *leavingField = "Server-Leaving";
+constexpr const char *healthPath = "/healthz";
 
 Json makeRoute(const ConfiguredRoute &route)
 {
@@ -52,12 +56,42 @@
 
 void RegistryStandIn::put(const std::string &key, const std::string &value)
 {
-    this->items[key] = Item{value, ++this->revision, false};
+    this->write(key, Item{value, ++this->revision, false});
 }
 
 void RegistryStandIn::remove(const std::string &key)
 {
-    this->items[key] = Item{"", ++this->revision, true};
+    this->write(key, Item{"", ++this->revision, true});
+}
+
+void RegistryStandIn::write(const std::string &key, Item item)
+{
+    this->writes.push_back({std::chrono::steady_clock::now(), key, item});
+    this->items[key] = std::move(item);
+}
+
+std::vector<RegistryStandIn::LostWrite> RegistryStandIn::restore(std::chrono::milliseconds age)
+{
+    const auto copied = std::chrono::steady_clock::now() - age;
+    const auto firstLost = std::ranges::upper_bound(this->writes, copied, {}, &LoggedWrite::at);
+    std::map<std::string, LostWrite> lost;
+    for (auto write = firstLost; write != this->writes.end(); ++write) {
+        lost[write->key] = {write->key, write->item.value, write->item.deleted};
+    }
+    this->writes.erase(firstLost, this->writes.end());
+    this->items.clear();
+    this->revision = 1;
+    for (const LoggedWrite &write : this->writes) {
+        this->items[write.key] = write.item;
+        this->revision = write.item.revision;
+    }
+    this->historyStart = std::min(this->historyStart, this->revision);
+    ++this->era;
+    std::vector<LostWrite> list;
+    for (auto &[key, write] : lost) {
+        list.push_back(std::move(write));
+    }
+    return list;
 }
 
 void RegistryStandIn::setReachable(bool reachable)
@@ -154,6 +188,13 @@
 }
 
 asio::awaitable<HttpResponse> RegistryStandIn::answer(const HttpRequest &request)
+{
+    HttpResponse response = co_await this->answerWithoutEra(request);
+    response.set("Store-Era", std::to_string(this->era));
+    co_return response;
+}
+
+asio::awaitable<HttpResponse> RegistryStandIn::answerWithoutEra(const HttpRequest &request)
 {
     ++this->calls;
     if (this->silent) {
@@ -197,7 +238,7 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(target.parameter("wait-ms", "0")));
     asio::steady_timer timer(this->context);
     Json events = Json::array();
-    if (after < this->historyStart) {
+    if (after < this->historyStart || after > this->revision) {
         co_return makeResponse(request, 410, "application/json", "{}");
     }
     while (events.empty() && std::chrono::steady_clock::now() < end && this->reachable) {
@@ -245,19 +286,21 @@
 asio::awaitable<HttpResponse> PlatformUpstream::answer(const HttpRequest &request)
 {
     const std::string requestId(request[requestIdField]);
-    const auto withId = [&request, &requestId](unsigned status, std::string body) {
-        HttpResponse response = makeResponse(request, status, "text/plain", std::move(body));
-        response.set(requestIdField, requestId);
-        return response;
-    };
+    if (request.target() == healthPath) {
+        ++this->probeCount;
+        HttpResponse response = this->makeAnswer(request, this->behaviour.saysLeaving ? 503 : 200, "");
+        response.set("Instance-Id", this->id);
+        co_return response;
+    }
     if (std::string_view(request["Expect-Instance"].data(), request["Expect-Instance"].size()) != this->id) {
-        HttpResponse response = withId(421, "");
+        HttpResponse response = this->makeAnswer(request, 421, "");
         response.set("Instance-Id", this->id);
         co_return response;
     }
-    const bool isFirstArrival = this->arrivals.insert(requestId).second;
+    this->arrivals.push_back({std::chrono::steady_clock::now(), requestId, this->startTimeMs});
+    const bool isFirstArrival = this->arrivedIds.insert(requestId).second;
     if (this->behaviour.rejects || (this->behaviour.rejectsFirstArrivals && isFirstArrival)) {
-        HttpResponse response = withId(503, "");
+        HttpResponse response = this->makeAnswer(request, 503, "");
         response.set(notRunField, "1");
         co_return response;
     }
@@ -270,11 +313,40 @@
         this->server.close();
         this->server.open();
     }
-    HttpResponse response = withId(now.status, "ran " + requestId);
+    HttpResponse response = this->makeAnswer(request, now.status, "ran " + requestId);
     response.set("Server-Seal", "seal-" + this->id);
+    this->notices[requestId] = {!this->behaviour.limits.empty(), this->behaviour.saysLeaving, this->startTimeMs};
     co_return response;
 }
 
+void PlatformUpstream::recordNamedLimit()
+{
+    std::optional<double> limit;
+    const std::vector<std::string> &values = this->behaviour.limits;
+    if (values.size() == 1 && !values.front().empty() && values.front().find_first_not_of("0123456789.") == std::string::npos) {
+        limit = std::stod(values.front());
+    }
+    const bool isChange = this->namedLimits.empty() || this->namedLimits.back().perSecond != limit
+                          || this->namedLimits.back().startTimeMs != this->startTimeMs;
+    if (isChange) {
+        this->namedLimits.push_back({std::chrono::steady_clock::now(), limit, this->startTimeMs});
+    }
+}
+
+HttpResponse PlatformUpstream::makeAnswer(const HttpRequest &request, unsigned status, std::string body)
+{
+    this->recordNamedLimit();
+    HttpResponse response = makeResponse(request, status, "text/plain", std::move(body));
+    response.set(requestIdField, request[requestIdField]);
+    for (const std::string &limit : this->behaviour.limits) {
+        response.insert(limitField, limit);
+    }
+    if (this->behaviour.saysLeaving) {
+        response.set(leavingField, "1");
+    }
+    return response;
+}
+
 PlatformFleet::PlatformFleet(unsigned nodes)
     : registry(this->context)
     , nodeCount(nodes)
@@ -488,6 +560,9 @@
     if (exchange.end == ExchangeEnd::Complete) {
         result.status = exchange.response.result_int();
         result.isSigned = exchange.response.count("Server-Seal") == 1;
+        result.seal = std::string(exchange.response["Server-Seal"]);
+        result.retryAfter = std::string(exchange.response["Retry-After"]);
+        result.hasNotice = exchange.response.count(limitField) + exchange.response.count(leavingField) > 0;
         result.echoedId = std::string(exchange.response[requestIdField]);
         result.body = exchange.response.body();
     }
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -59,6 +59,25 @@
     /// Discards the history: watches from an earlier revision are answered 410.
     void forgetHistory();
 
+    /// A write that a restore has lost, with the latest value of its key.
+    struct LostWrite
+    {
+        std::string key;
+        std::string value;
+        bool deleted = false;
+    };
+
+    /// Comes back from a copy: forgets the writes of the last `age`, gives out their revisions again and begins the next era. Watches from
+    /// a revision that the copy does not have are answered 410.
+    /// @return the latest lost write of each key
+    std::vector<LostWrite> restore(std::chrono::milliseconds age);
+
+    /// @return value of the Store-Era header of all answers
+    std::uint64_t storeEra() const
+    {
+        return this->era;
+    }
+
     /// Sets the maximum number of items in a reply to a range read.
     void setPageSize(std::size_t items);
 
@@ -79,7 +98,9 @@
         bool deleted = false;
     };
 
+    void write(const std::string &key, Item item);
     boost::asio::awaitable<StandIns::HttpResponse> answer(const StandIns::HttpRequest &request);
+    boost::asio::awaitable<StandIns::HttpResponse> answerWithoutEra(const StandIns::HttpRequest &request);
     boost::asio::awaitable<StandIns::HttpResponse> read(const StandIns::HttpRequest &request);
     boost::asio::awaitable<StandIns::HttpResponse> watch(const StandIns::HttpRequest &request, const StandIns::Target &target);
     nlohmann::json readRange(const StandIns::Target &target) const;
@@ -87,10 +108,19 @@
     boost::asio::awaitable<void> waitForever();
     nlohmann::json toJson(const std::string &key, const Item &item) const;
 
+    struct LoggedWrite
+    {
+        std::chrono::steady_clock::time_point at;
+        std::string key;
+        Item item;
+    };
+
     boost::asio::io_context &context;
     StandIns::HttpServer server;
     std::map<std::string, Item> items;
+    std::vector<LoggedWrite> writes; ///< All writes of the present history, the oldest first.
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
     bool reachable = true;
     bool silent = false;
     std::mt19937 random; ///< Chooses the replies that are lost.
@@ -114,6 +144,8 @@
     bool repeatsResponses = false; ///< The same for all responses.
     bool dropsResponses = false; ///< Whether it runs requests and closes the connection before the response.
     std::optional<std::size_t> sentBytes{}; ///< Number of bytes of each response that it sends before it closes the connection.
+    std::vector<std::string> limits{}; ///< Values of the Server-Limit fields of all its answers.
+    bool saysLeaving = false; ///< Whether all its answers say Server-Leaving.
 };
 
 /// In-process stand-in for an upstream that uses the platform's protocol and counts the requests that it runs.
@@ -130,7 +162,35 @@
 
     UpstreamBehaviour behaviour;
     std::int64_t startTimeMs = 1; ///< Start time of the upstream process in its registry entry, in milliseconds.
+    /// A request that has arrived, whether or not it is run.
+    struct Arrival
+    {
+        std::chrono::steady_clock::time_point at;
+        std::string requestId;
+        std::int64_t startTimeMs = 0; ///< Lifetime of the upstream that received it.
+    };
+
+    /// What an answer said of the upstream.
+    struct Notice
+    {
+        bool hasLimit = false;
+        bool saysLeaving = false;
+        std::int64_t startTimeMs = 0; ///< Lifetime of the upstream that answered.
+    };
+
+    /// Limit that the upstream names from an answer on, until the next entry.
+    struct NamedLimit
+    {
+        std::chrono::steady_clock::time_point at;
+        std::optional<double> perSecond; ///< Requests per second; empty when it names none that is valid.
+        std::int64_t startTimeMs = 0; ///< Lifetime of the upstream that answered.
+    };
+
     std::map<std::string, unsigned> runs; ///< Number of runs, by request id.
+    std::vector<Arrival> arrivals; ///< Requests that named this upstream, the oldest first.
+    std::vector<NamedLimit> namedLimits; ///< Changes of the limit in its answers, the oldest first.
+    std::map<std::string, Notice> notices; ///< Notices in the answers to requests that were run, by request id.
+    unsigned probeCount = 0; ///< Number of health checks received.
     std::size_t responseBytes = 0; ///< Size of the last complete response, header included.
     std::map<std::string, std::string> callerServices; ///< Value of Caller-Service, by request id.
     const std::string id;
@@ -139,7 +199,10 @@
     boost::asio::awaitable<StandIns::HttpResponse> answer(const StandIns::HttpRequest &request);
 
     boost::asio::io_context &context;
-    std::set<std::string> arrivals; ///< Ids of the requests that have arrived.
+    StandIns::HttpResponse makeAnswer(const StandIns::HttpRequest &request, unsigned status, std::string body);
+    void recordNamedLimit();
+
+    std::set<std::string> arrivedIds; ///< Ids of the requests that have arrived.
     StandIns::HttpServer server;
 };
 
@@ -157,6 +220,9 @@
     StandIns::ExchangeEnd end = StandIns::ExchangeEnd::Complete;
     unsigned status = 0; ///< HTTP status code, or 0 when `end` is not Complete.
     bool isSigned = false; ///< Whether the response carries the Server-Seal of an upstream.
+    std::string seal; ///< Value of Server-Seal.
+    std::string retryAfter; ///< Value of Retry-After, in seconds.
+    bool hasNotice = false; ///< Whether the response carries Server-Limit or Server-Leaving.
     std::string echoedId; ///< Value of Request-Id in the response.
     std::string body;
 };
