Keep the requests of an upstream within the limit that it names

Cause: no node acted on Server-Limit.

Every request of callers reaches an upstream through its home: first offers, repeats, hedges, calls and what the upstream rejects. So the home counts (ArrivalLimit): a token bucket that starts empty, and a count of the last 4 s for limits that begin or fall. The queue grants a slot only with room, in the order of value. A home that has just started hears of the limit from the offers of nodes that know it. A limited upstream that has answered nothing for 2 s gets a health check, since only an answer shows that a limit of 0 has ended. Homes report when there is room; until then no node asks them. A request that no upstream has room for in time is rejected at once, with the wait as Retry-After. The time that a request waits for room counts neither for the slowness nor the health of the upstream.

--- a/galenarack/fleet/trafficconfig.cpp
+++ b/galenarack/fleet/trafficconfig.cpp
@@ -46,7 +46,13 @@
 
 bool TrafficConfig::hasService(std::string_view name) const
 {
-    return std::ranges::find(this->services, name, &TrafficService::name) != this->services.end();
+    return this->findService(name) != nullptr;
+}
+
+const TrafficService *TrafficConfig::findService(std::string_view name) const
+{
+    const auto found = std::ranges::find(this->services, name, &TrafficService::name);
+    return found == this->services.end() ? nullptr : &*found;
 }
 
 std::size_t TrafficConfig::routeCount() const
--- a/galenarack/fleet/trafficconfig.h
+++ b/galenarack/fleet/trafficconfig.h
@@ -68,6 +68,9 @@
     /// @return whether the configuration has a service of this name
     bool hasService(std::string_view name) const;
 
+    /// @return the service of this name, or null
+    const TrafficService *findService(std::string_view name) const;
+
     /// @return number of routes of all hosts together
     std::size_t routeCount() const;
 
--- a/galenarack/operators/metrics.cpp
+++ b/galenarack/operators/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <limits>
 #include <sstream>
 
 namespace Galenarack {
@@ -48,6 +49,12 @@
     , inFlight(gauges(this->registry, "galenarack_upstream_in_flight", "Requests in progress at the upstream of this home."))
     , queued(gauges(this->registry, "galenarack_upstream_queued", "Requests that wait at this home for a slot of the upstream."))
     , slots(gauges(this->registry, "galenarack_upstream_slots", "Slots of the upstream of this home."))
+    , limits(gauges(this->registry,
+                    "galenarack_upstream_limit",
+                    "Requests per second that the upstream of this home takes from all nodes; +Inf without a limit."))
+    , limitDeclines(gauges(this->registry,
+                           "galenarack_limit_declines",
+                           "Offers that this home has declined since its start because the limit of the upstream had no room."))
     , retries(counters(this->registry, "galenarack_retries_total", "Attempts after the first one for which an upstream was available."))
     , hedges(counters(this->registry, "galenarack_hedges_total", "Hedged attempts."))
     , ejections(counters(this->registry, "galenarack_ejections_total", "Ejections of the upstream by this node."))
@@ -77,7 +84,7 @@
         (families.retain(this->services, this->upstreams, otherLabel), ...);
     };
     retain(this->requests, this->latencies, this->homeRequests, this->homeLatencies);
-    retain(this->inFlight, this->queued, this->slots);
+    retain(this->inFlight, this->queued, this->slots, this->limits, this->limitDeclines);
     retain(this->retries, this->hedges, this->ejections, this->reinstatements, this->floorHits);
 }
 
@@ -101,6 +108,8 @@
     this->inFlight.at({}, label).Set(load.inFlight);
     this->queued.at({}, label).Set(load.queued);
     this->slots.at({}, label).Set(load.slots);
+    this->limits.at({}, label).Set(load.limit.value_or(std::numeric_limits<double>::infinity()));
+    this->limitDeclines.at({}, label).Set(static_cast<double>(load.limitDeclines));
 }
 
 void Metrics::countRetry(std::string_view service)
--- a/galenarack/operators/metrics.h
+++ b/galenarack/operators/metrics.h
@@ -22,6 +22,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0; ///< Number of slots of the upstream.
+    std::optional<double> limit{}; ///< Requests per second that the upstream takes from all nodes; empty without a limit.
+    std::uint64_t limitDeclines = 0; ///< Offers declined by this home because the limit had no room, since its start.
 };
 
 /// Number of members by state.
@@ -96,6 +98,8 @@
     LabelledFamily<prometheus::Gauge> inFlight;
     LabelledFamily<prometheus::Gauge> queued;
     LabelledFamily<prometheus::Gauge> slots;
+    LabelledFamily<prometheus::Gauge> limits;
+    LabelledFamily<prometheus::Gauge> limitDeclines;
     LabelledFamily<prometheus::Counter> retries;
     LabelledFamily<prometheus::Counter> hedges;
     LabelledFamily<prometheus::Counter> ejections;
--- a/galenarack/policy/admissionqueue.cpp
+++ b/galenarack/policy/admissionqueue.cpp
@@ -23,8 +23,8 @@
 /// Lower bound of the slot time in the ranking: routes with shorter work rank no higher.
 constexpr double minSlotSeconds = 0.02;
 
-/// Lower bound of the share of the slots that requests of a higher value leave to others, in the estimated wait.
-constexpr double minSlotShare = 0.05;
+/// Lower bound of the share of the slots, and of the limit, that requests of a higher value leave to others, in the estimated wait.
+constexpr double minLeftShare = 0.05;
 
 /// Time constant with which used slot time loses its weight.
 constexpr double usageDecaySeconds = 3.0;
@@ -66,6 +66,16 @@
     this->slots = slots;
 }
 
+void AdmissionQueue::setLimit(std::optional<double> perSecond, TimePoint now)
+{
+    this->arrivals.setRate(perSecond, now);
+}
+
+void AdmissionQueue::recordProbe(TimePoint now)
+{
+    this->arrivals.onProbe(now);
+}
+
 void AdmissionQueue::push(const AdmissionRequest &request)
 {
     this->queue.push_back(request);
@@ -93,20 +103,34 @@
     });
     RouteUsage &usage = this->usage[ended->request.route];
     usage.slotSeconds = decayedUsage(usage.slotSeconds, usage.updated, now) + seconds(now - ended->started);
+    usage.requests = decayedUsage(usage.requests, usage.updated, now) + 1;
     usage.updated = now;
     usage.request = ended->request;
     this->active.erase(ended);
 }
 
-double AdmissionQueue::preferredShare(double density, TimePoint now) const
+void AdmissionQueue::withdraw(std::uint64_t ticket, TimePoint now)
+{
+    const auto withdrawn = std::ranges::find_if(this->active, [ticket](const Running &running) {
+        return running.request.ticket == ticket;
+    });
+    if (withdrawn != this->active.end()) {
+        this->arrivals.onWithdrawn(withdrawn->started, now);
+        this->active.erase(withdrawn);
+    }
+}
+
+AdmissionQueue::PreferredUse AdmissionQueue::preferredUse(double density, TimePoint now) const
 {
-    double used = 0;
+    double slotSeconds = 0;
+    double requests = 0;
     for (const auto &[route, usage] : this->usage) {
         if (this->valueDensity(usage.request) > density) {
-            used += decayedUsage(usage.slotSeconds, usage.updated, now);
+            slotSeconds += decayedUsage(usage.slotSeconds, usage.updated, now);
+            requests += decayedUsage(usage.requests, usage.updated, now);
         }
     }
-    return used / (usageDecaySeconds * std::max(this->slots, 1U));
+    return {slotSeconds / (usageDecaySeconds * std::max(this->slots, 1U)), requests / usageDecaySeconds};
 }
 
 void AdmissionQueue::recordDuration(std::string_view route, Duration target, Duration duration)
@@ -130,10 +154,11 @@
         }
         return expired;
     });
-    while (this->active.size() < this->slots && !this->queue.empty()) {
+    while (this->active.size() < this->slots && !this->queue.empty() && this->arrivals.hasRoom(now)) {
         const auto best = std::ranges::max_element(this->queue, {}, [this](const AdmissionRequest &request) {
             return this->valueDensity(request);
         });
+        this->arrivals.onArrival(now);
         this->active.push_back({now, *best});
         outcome.granted.push_back(best->ticket);
         this->queue.erase(best);
@@ -142,6 +167,31 @@
 }
 
 Duration AdmissionQueue::estimateWait(const AdmissionRequest &request, TimePoint now) const
+{
+    const double density = this->valueDensity(request);
+    const PreferredUse preferred = this->preferredUse(density, now);
+    return std::max(this->slotWait(density, preferred, now), this->limitWait(density, preferred, now));
+}
+
+Duration AdmissionQueue::limitWait(double density, const PreferredUse &preferred, TimePoint now) const
+{
+    const std::optional<double> rate = this->arrivals.rate();
+    if (!rate) {
+        return Duration::zero();
+    }
+    const auto ahead = static_cast<std::size_t>(std::ranges::count_if(this->queue, [this, density](const AdmissionRequest &other) {
+        return this->valueDensity(other) >= density;
+    }));
+    const std::optional<Duration> wait = this->arrivals.wait(ahead, now);
+    if (!wait) {
+        return Duration::max();
+    }
+    // As for the slots, requests of a higher value that arrive during the wait go first.
+    const double left = 1.0 - preferred.requestsPerSecond / *rate;
+    return std::chrono::duration_cast<Duration>(*wait / std::max(left, minLeftShare));
+}
+
+Duration AdmissionQueue::slotWait(double density, const PreferredUse &preferred, TimePoint now) const
 {
     if (this->active.size() < this->slots && this->queue.empty()) {
         return Duration::zero();
@@ -152,7 +202,6 @@
     for (const Running &run : this->active) {
         running += std::max(run.request.expected, now - run.started);
     }
-    const double density = this->valueDensity(request);
     Duration ahead{};
     for (const AdmissionRequest &other : this->queue) {
         if (this->valueDensity(other) >= density) {
@@ -162,8 +211,8 @@
     const std::uint32_t busy = std::max<std::uint32_t>(static_cast<std::uint32_t>(this->active.size()), 1);
     const Duration first = this->active.size() < this->slots ? Duration::zero() : running / busy / (busy + 1);
     // Requests of a higher value that arrive during the wait go first, so only the slots that they leave shorten it.
-    const double left = 1.0 - this->preferredShare(density, now);
-    return std::chrono::duration_cast<Duration>((first + ahead / std::max(this->slots, 1U)) / std::max(left, minSlotShare));
+    const double left = 1.0 - preferred.slotShare;
+    return std::chrono::duration_cast<Duration>((first + ahead / std::max(this->slots, 1U)) / std::max(left, minLeftShare));
 }
 
 } // namespace Galenarack
--- a/galenarack/policy/admissionqueue.h
+++ b/galenarack/policy/admissionqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/policy/arrivallimit.h>
 #include <galenarack/policy/durationestimate.h>
 
 #include <cstddef>
@@ -37,6 +38,9 @@
 /// its work on this upstream. Estimates of the ingresses differ, and an order by them would starve the requests of some nodes.
 /// Latency targets don't stand in for the slot time: work that other requests wait for may have a long target, although it is
 /// short. A request that can no longer meet its deadline is removed.
+///
+/// An upstream may limit the requests that it takes in a second. A slot is then granted only when the limit has room as well, in the
+/// same order.
 class AdmissionQueue
 {
 public:
@@ -46,6 +50,19 @@
     /// Changes the number of slots. Requests that hold a slot keep it.
     void setSlots(std::uint32_t slots);
 
+    /// Changes the limit of the upstream.
+    /// @param perSecond requests per second; without a value there is no limit
+    void setLimit(std::optional<double> perSecond, TimePoint now);
+
+    /// @return the limit of the upstream and the requests that have reached it lately
+    const ArrivalLimit &limit() const
+    {
+        return this->arrivals;
+    }
+
+    /// Records a health check of the upstream.
+    void recordProbe(TimePoint now);
+
     /// Adds a waiting request.
     void push(const AdmissionRequest &request);
 
@@ -57,6 +74,9 @@
     /// @param ticket ticket of the request that holds the slot
     void release(std::uint64_t ticket, TimePoint now);
 
+    /// Releases the slot of a request that has not been sent to the upstream, which so does not count for the limit.
+    void withdraw(std::uint64_t ticket, TimePoint now);
+
     /// Records how long the upstream took for a successful request, to estimate the slot time of the route.
     /// @param target latency target of the route
     void recordDuration(std::string_view route, Duration target, Duration duration);
@@ -64,7 +84,8 @@
     /// Grants free slots and removes requests that can no longer meet their deadline.
     AdmissionOutcome advance(TimePoint now);
 
-    /// @return estimated wait for a slot if the request was added now
+    /// @return estimated wait for a slot, and for room in the limit, if the request was added now; Duration::max() when the limit of the
+    ///         upstream is 0
     Duration estimateWait(const AdmissionRequest &request, TimePoint now) const;
 
     /// @return number of requests that wait for a slot
@@ -98,16 +119,30 @@
     {
         AdmissionRequest request; ///< Last request of the route that held a slot.
         double slotSeconds = 0; ///< Used slot time, decayed with its age.
+        double requests = 0; ///< Number of requests, decayed with their age.
         TimePoint updated; ///< Time at which the slot time was computed.
     };
 
-    /// @return share of the slot time of the last seconds that was used by requests of a higher value, 0 to 1
-    double preferredShare(double density, TimePoint now) const;
+    /// Recent use of the upstream by requests of a higher value.
+    struct PreferredUse
+    {
+        double slotShare = 0; ///< Share of the slot time, 0 to 1.
+        double requestsPerSecond = 0;
+    };
+
+    PreferredUse preferredUse(double density, TimePoint now) const;
+
+    /// @return estimated wait for a slot
+    Duration slotWait(double density, const PreferredUse &preferred, TimePoint now) const;
+
+    /// @return estimated wait for room in the limit; Duration::max() when it is 0
+    Duration limitWait(double density, const PreferredUse &preferred, TimePoint now) const;
 
     /// @return value of a request per second of slot time, by which the queue is ordered
     double valueDensity(const AdmissionRequest &request) const;
 
     std::uint32_t slots;
+    ArrivalLimit arrivals;
     DurationEstimate durations; ///< Usual duration of each route's work on this upstream.
     std::vector<AdmissionRequest> queue; ///< Waiting requests, the oldest first.
     std::vector<Running> active; ///< Requests that hold a slot, the oldest grant first.
--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -33,6 +33,9 @@
 /// same upstream.
 constexpr double maxJitter = 0.05;
 
+/// A limit may end or rise at any time, so a report on it only counts for this time. Then the home is asked again.
+constexpr Duration limitReportLifetime = std::chrono::seconds(1);
+
 /// Assumed slowness of an upstream during its cold start: work takes about twice as long.
 constexpr double coldStartSlowness = 2.0;
 
@@ -61,6 +64,14 @@
 
 } // namespace
 
+Duration UpstreamView::remainingLimitWait(TimePoint now) const
+{
+    if (!this->load.limit || now - this->loadReportedAt > limitReportLifetime) {
+        return Duration::zero();
+    }
+    return std::max<Duration>(this->loadReportedAt + this->load.limitWait - now, Duration::zero());
+}
+
 Placement::Placement(std::string failureDomain, std::mt19937_64 random)
     : failureDomain(std::move(failureDomain))
     , random(random)
@@ -116,7 +127,7 @@
     const double target = seconds(request.target);
     const double slowness = now < view.coldUntil ? std::max(coldStartSlowness, view.load.slowness) : view.load.slowness;
     std::uniform_real_distribution<double> jitter(0.0, maxJitter);
-    double cost = seconds(expectedWait(view, request.expected, now)) * slowness;
+    double cost = seconds(expectedWait(view, request.expected, now)) * slowness + seconds(view.remainingLimitWait(now));
     cost += seconds(request.expected) * (slowness - 1.0);
     cost += seconds(failureCost(request, expectedGrayProbability(view, now)));
     cost += target * (rejectionCost * view.load.shedShare + jitter(this->random));
@@ -146,13 +157,32 @@
     return best;
 }
 
+bool Placement::isEligible(const UpstreamView &view, const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now)
+{
+    return view.entry.service == request.service && !view.entry.draining && now >= view.unreachableUntil
+           && std::ranges::find(excluded, view.entry.id) == excluded.end();
+}
+
+std::vector<DeclinedOffer> Placement::limitedOffers(const PlacementRequest &request,
+                                                    std::span<const std::string> excluded,
+                                                    TimePoint now) const
+{
+    std::vector<DeclinedOffer> offers;
+    for (const UpstreamView &view : this->rows) {
+        const Duration wait = view.remainingLimitWait(now);
+        if (wait > request.maxLimitWait && isEligible(view, request, excluded, now)) {
+            offers.push_back({view.entry.id, wait, expectedGrayProbability(view, now)});
+        }
+    }
+    return offers;
+}
+
 UpstreamView *Placement::choose(const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now)
 {
     UpstreamView *best = nullptr;
     double bestCost = 0;
     for (UpstreamView &view : this->rows) {
-        const bool isEligible = view.entry.service == request.service && !view.entry.draining && now >= view.unreachableUntil;
-        if (!isEligible || std::ranges::find(excluded, view.entry.id) != excluded.end()) {
+        if (!isEligible(view, request, excluded, now) || view.remainingLimitWait(now) > request.maxLimitWait) {
             continue;
         }
         if (view.ejected && now >= view.trialAt && request.allowTrial) {
--- a/galenarack/policy/placement.h
+++ b/galenarack/policy/placement.h
@@ -23,6 +23,8 @@
     double grayProbability = 0; ///< Probability that the upstream is gray, 0 to 1.
     double slowness = 1; ///< Ratio of the actual to the usual duration of the upstream's work.
     double shedShare = 0; ///< Share of the requests that the upstream rejects without running them, 0 to 1.
+    std::optional<double> limit{}; ///< Requests per second that the upstream takes from all nodes; empty without a limit.
+    Duration limitWait{}; ///< Time from the report until the limit has room for a further request.
 };
 
 /// State of one upstream as its ingress knows it from reports and its own requests.
@@ -37,6 +39,9 @@
     bool ejected = false; ///< Whether the home has declined an offer because it considers the upstream unhealthy.
     TimePoint unreachableUntil; ///< End of the pause after the path to the home has failed.
     unsigned pathFailures = 0; ///< Number of consecutive failures of the path to the home.
+
+    /// @return time until the limit of the upstream has room, as last reported; zero without a limit or a recent report
+    Duration remainingLimitWait(TimePoint now) const;
 };
 
 /// Properties of a request that decide which upstream it goes to.
@@ -46,6 +51,7 @@
     bool idempotent = false; ///< Whether the request may run more than once.
     Duration expected{}; ///< Usual duration of the work.
     Duration target{}; ///< Latency target of the route, within which a response has its full value.
+    Duration maxLimitWait{}; ///< Longest wait for room in the limit of an upstream; others are not chosen.
     bool allowTrial = false; ///< Whether the request may go to an ejected upstream to check whether it has recovered.
     bool allowUnhealthy = false; ///< Whether the request may run on an ejected upstream when no better one is left.
 };
@@ -77,6 +83,11 @@
     /// @return the upstream, or null when there is none to choose; valid until the next setEntries()
     UpstreamView *choose(const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now);
 
+    /// Lists the upstreams that choose() passes over only because their limit has no room soon enough, as if their homes had declined an
+    /// offer.
+    /// @param excluded ids of upstreams that are not considered
+    std::vector<DeclinedOffer> limitedOffers(const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now) const;
+
     /// @return the upstream with this id, or null when there is none; valid until the next setEntries()
     UpstreamView *find(std::string_view id);
 
@@ -116,6 +127,9 @@
     }
 
 private:
+    /// @return whether the request may go to the upstream at all, apart from its health and its limit
+    static bool isEligible(const UpstreamView &view, const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now);
+
     /// @return expected time until a successful response from the upstream in seconds, with a random part
     double costSeconds(const UpstreamView &view, const PlacementRequest &request, TimePoint now);
 
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -4,6 +4,8 @@
 #include <galenarack/core/scopeguard.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -53,6 +55,14 @@
 /// that the process seldom runs on for single requests.
 constexpr int usualDurationFactor = 2;
 
+/// A limited upstream that has answered nothing for this time is sent a health check.
+constexpr Duration limitCheckInterval = std::chrono::seconds(2);
+
+constexpr Duration healthCheckTimeout = std::chrono::seconds(1);
+
+/// Shortest time that is reported until the limit has room.
+constexpr Duration minLimitWait = std::chrono::milliseconds(100);
+
 constexpr unsigned serverError = 500;
 constexpr unsigned gatewayTimeout = 504;
 constexpr unsigned misdirected = 421;
@@ -124,6 +134,8 @@
     load.grayProbability = this->grayFilter.grayProbability(failureDomain, now);
     load.slowness = this->slowness;
     load.shedShare = this->rejectedShare.value(now);
+    load.limit = this->queue.limit().rate();
+    load.limitWait = this->queue.limit().wait(this->queue.waiting(), now).value_or(this->nextLimitCheck(now));
     return load;
 }
 
@@ -149,6 +161,7 @@
     }
     this->queue.setSlots(own->slots);
     this->resetHealthOnRestart(*own, now);
+    this->adoptLimit(offer, now);
     retryAfter = this->connectPause.remaining(now);
     if (retryAfter > Duration::zero()) {
         return OfferOutcome::Ejected;
@@ -169,16 +182,37 @@
 
 void HomeService::resetHealthOnRestart(const UpstreamEntry &own, TimePoint now)
 {
+    if (own.id != this->observedUpstream) {
+        this->notice = UpstreamNotice();
+        this->isNoticeOwn = false;
+        this->queue.setLimit(std::nullopt, now);
+    }
     if (own.id != this->observedUpstream || own.startTimeMs != this->observedStartMs) {
+        // The entry may be older than the last answer, so a limit holds until the next one. That one is asked for at once.
+        this->limitCheckedAt = TimePoint();
         this->observedUpstream = own.id;
         this->observedStartMs = own.startTimeMs;
         this->grayFilter = GrayFailureFilter(now);
         this->connectPause.onSuccess();
         this->slowness = 1;
-        this->notice = UpstreamNotice();
     }
 }
 
+void HomeService::adoptLimit(const Offer &offer, TimePoint now)
+{
+    if (this->isNoticeOwn || !offer.knownLimit || offer.knownLimit == this->notice.limit) {
+        return;
+    }
+    this->log.info("limit adopted", {{"upstream", offer.upstream}, {"limit", *offer.knownLimit}, {"request_id", offer.requestId}});
+    this->notice.limit = offer.knownLimit;
+    this->queue.setLimit(offer.knownLimit, now);
+}
+
+Duration HomeService::nextLimitCheck(TimePoint now) const
+{
+    return std::max<Duration>(this->limitCheckedAt + limitCheckInterval - now, minLimitWait);
+}
+
 bool HomeService::isLeaving(const Offer &offer, TimePoint deadline, TimePoint now) const
 {
     const UpstreamEntry *own = this->entry();
@@ -235,9 +269,14 @@
     if (waited != OfferOutcome::Answered) {
         co_return this->makeNotRunResponse(*offer, waited, retryAfter);
     }
-    const ScopeGuard released([this, ticket = request.ticket] {
+    bool isSent = false;
+    const ScopeGuard released([this, &isSent, ticket = request.ticket] {
         const TimePoint now = NodeClock::now();
-        this->queue.release(ticket, now);
+        if (isSent) {
+            this->queue.release(ticket, now);
+        } else {
+            this->queue.withdraw(ticket, now);
+        }
         this->advance(now);
     });
     // A gray failure of the upstream may have been detected while the request waited.
@@ -250,6 +289,7 @@
     if (call->cancellation.isRequested()) {
         co_return this->makeNotRunResponse(*offer, OfferOutcome::Withdrawn, Duration::zero());
     }
+    isSent = true;
     co_return co_await this->run(*offer, *call, request.deadline, request.ticket);
 }
 
@@ -261,7 +301,8 @@
     const TimePoint now = NodeClock::now();
     const Duration wait = this->queue.estimateWait(request, now);
     if (wait > offer.maxQueueWait) {
-        retryAfter = wait;
+        this->limitDeclines += this->queue.limit().hasRoom(now) ? 0 : 1;
+        retryAfter = wait == Duration::max() ? this->nextLimitCheck(now) : wait;
         co_return OfferOutcome::Busy;
     }
     if (now + wait + request.expected / 2 > request.deadline) {
@@ -277,7 +318,10 @@
         waiter->signal.cancel();
     });
     this->advance(now);
-    while (!waiter->granted && !waiter->expired && !waiter->declined && !call.cancellation.isRequested()) {
+    const auto isDecided = [&waiter] {
+        return waiter->granted || waiter->expired || waiter->declined || waiter->withoutRoom;
+    };
+    while (!isDecided() && !call.cancellation.isRequested()) {
         co_await waiter->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     call.cancellation.setAction(nullptr);
@@ -290,6 +334,12 @@
         retryAfter = leavingRetryDelay;
         co_return OfferOutcome::Leaving;
     }
+    if (waiter->withoutRoom) {
+        ++this->limitDeclines;
+        const TimePoint declined = NodeClock::now();
+        retryAfter = this->queue.limit().wait(this->queue.waiting(), declined).value_or(this->nextLimitCheck(declined));
+        co_return OfferOutcome::Busy;
+    }
     co_return waiter->expired ? OfferOutcome::Expired : OfferOutcome::Withdrawn;
 }
 
@@ -353,12 +403,7 @@
             }
         });
     }
-    upstreamCall.onHeader = [this, &offer](unsigned status, const HeaderList &notices) {
-        // A misdirected request was answered by another upstream at the same address.
-        if (status != misdirected) {
-            this->onNotice(offer.upstream, UpstreamNotice::fromHeaders(notices, this->dialect));
-        }
-    };
+    this->listenForNotices(upstreamCall, offer.upstream);
     auto response = co_await this->pool.request(request, offer.requestId, deadline, upstreamCall);
     call.cancellation.setAction(nullptr);
     const TimePoint now = NodeClock::now();
@@ -442,7 +487,13 @@
 
 void HomeService::onNotice(std::string_view upstream, const UpstreamNotice &notice)
 {
-    if (upstream != this->observedUpstream || notice == this->notice) {
+    if (upstream != this->observedUpstream) {
+        return;
+    }
+    const TimePoint now = NodeClock::now();
+    this->isNoticeOwn = true;
+    this->limitCheckedAt = now;
+    if (notice == this->notice) {
         return;
     }
     this->log.info("upstream notice",
@@ -453,9 +504,57 @@
                     {"leaving_before", this->notice.leaving ? "yes" : "no"},
                     {"running", static_cast<std::int64_t>(this->queue.running())},
                     {"waiting", static_cast<std::int64_t>(this->queue.waiting())}});
+    if (notice.limit != this->notice.limit) {
+        this->queue.setLimit(notice.limit, now);
+        this->advance(now);
+    }
     this->notice = notice;
 }
 
+void HomeService::listenForNotices(UpstreamCall &call, std::string upstream)
+{
+    call.onHeader = [this, upstream = std::move(upstream)](unsigned status, const HeaderList &notices) {
+        // A misdirected request was answered by another upstream at the same address.
+        if (status != misdirected) {
+            this->onNotice(upstream, UpstreamNotice::fromHeaders(notices, this->dialect));
+        }
+    };
+}
+
+void HomeService::checkLimit(TimePoint now)
+{
+    const UpstreamEntry *own = this->entry();
+    const bool isDue = this->queue.limit().rate() && this->runs.empty() && now - this->limitCheckedAt >= limitCheckInterval;
+    if (!isDue || own == nullptr || own->id != this->observedUpstream || !this->view.config()) {
+        return;
+    }
+    const TrafficService *service = this->view.config()->findService(own->service);
+    if (service == nullptr) {
+        return;
+    }
+    this->limitCheckedAt = now;
+    this->queue.recordProbe(now);
+    asio::co_spawn(
+        this->executor,
+        [this, id = own->id, path = service->healthPath]() -> asio::awaitable<void> {
+            co_await this->sendHealthCheck(id, path);
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> HomeService::sendHealthCheck(std::string upstream, std::string path)
+{
+    PeerRequest request;
+    request.method = "GET";
+    request.path = std::move(path);
+    UpstreamCall call;
+    this->listenForNotices(call, std::move(upstream));
+    const auto response = co_await this->pool.request(request, "", NodeClock::now() + healthCheckTimeout, call);
+    if (!response.ok()) {
+        this->log.info("limit not checked", {{"detail", messageOf(response.status())}});
+    }
+}
+
 void HomeService::observe(std::string_view failureDomain, RequestEvidence evidence, std::string_view requestId, TimePoint now)
 {
     const std::string_view before = healthStateName(this->grayFilter.grayProbability(failureDomain, now));
@@ -486,20 +585,32 @@
             this->observe(run.failureDomain, RequestEvidence::Overdue, run.requestId, now);
         }
     }
-    // A leaving upstream gets no queued requests either.
+    const std::optional<Duration> firstRoom = this->queue.limit().wait(0, now);
     for (const auto &[ticket, waiter] : this->waiters) {
-        if (!waiter->granted && this->isLeaving(waiter->offer, waiter->deadline, now)) {
-            waiter->declined = true;
+        if (waiter->granted) {
+            continue;
+        }
+        // A leaving upstream gets no queued requests either.
+        waiter->declined = this->isLeaving(waiter->offer, waiter->deadline, now);
+        // The limit may have fallen while the request waited.
+        waiter->withoutRoom = !firstRoom || *firstRoom > waiter->offer.maxQueueWait;
+        if (waiter->declined || waiter->withoutRoom) {
             waiter->signal.cancel();
         }
     }
     this->advance(now);
+    this->checkLimit(now);
 }
 
 HomeLoad HomeService::currentLoad() const
 {
-    return HomeLoad{
-        static_cast<std::uint32_t>(this->queue.running()), static_cast<std::uint32_t>(this->queue.waiting()), this->queue.slotCount()};
+    HomeLoad load;
+    load.inFlight = static_cast<std::uint32_t>(this->queue.running());
+    load.queued = static_cast<std::uint32_t>(this->queue.waiting());
+    load.slots = this->queue.slotCount();
+    load.limit = this->queue.limit().rate();
+    load.limitDeclines = this->limitDeclines;
+    return load;
 }
 
 void HomeService::drain(const DrainSchedule &schedule)
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -82,6 +82,7 @@
         bool granted = false; ///< The offer has a slot.
         bool expired = false; ///< The request can no longer end before its deadline.
         bool declined = false; ///< The upstream or the node is leaving.
+        bool withoutRoom = false; ///< The limit of the upstream has no room within the wait that the offer accepts.
         Offer offer;
         TimePoint deadline; ///< Time after which a response has no value.
     };
@@ -135,6 +136,21 @@
     /// Handles what the upstream said of itself in a response to a request that was offered to `upstream`.
     void onNotice(std::string_view upstream, const UpstreamNotice &notice);
 
+    /// Applies a limit that another node has heard of, unless the upstream has told this process itself.
+    void adoptLimit(const Offer &offer, TimePoint now);
+
+    /// Sets the function that receives the notices in the response to a request.
+    void listenForNotices(UpstreamCall &call, std::string upstream);
+
+    /// Asks a limited upstream that has not answered for a while, since only an answer shows that the limit has changed.
+    void checkLimit(TimePoint now);
+
+    /// Sends a health check and heeds the notices in its response.
+    boost::asio::awaitable<void> sendHealthCheck(std::string upstream, std::string path);
+
+    /// @return time until a limit of 0 may be known to have ended
+    Duration nextLimitCheck(TimePoint now) const;
+
     void observe(std::string_view failureDomain, RequestEvidence evidence, std::string_view requestId, TimePoint now);
     const UpstreamEntry *entry() const;
 
@@ -147,6 +163,9 @@
     AdmissionQueue queue;
     GrayFailureFilter grayFilter; ///< Health of the upstream named by observedUpstream since observedStartMs.
     UpstreamNotice notice; ///< Latest notice of that upstream.
+    bool isNoticeOwn = false; ///< Whether the upstream has answered this process since it started.
+    TimePoint limitCheckedAt; ///< Time of the latest notice, or of the latest health check that was sent for one.
+    std::uint64_t limitDeclines = 0; ///< Number of offers that were declined because the limit had no room.
     std::string observedUpstream; ///< Id of the upstream that the health state belongs to.
     std::int64_t observedStartMs = 0; ///< Start time of that upstream, Unix time in ms.
     ConnectBackoff connectPause;
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -21,8 +21,11 @@
 constexpr std::string_view routeField = "galenarack-route";
 constexpr std::string_view reportField = "galenarack-report";
 constexpr std::string_view revisionField = "galenarack-revision"; ///< Changes seldom, so HPACK can index it.
+constexpr std::string_view limitField = "galenarack-limit"; ///< Only present while an upstream names a limit.
 constexpr std::size_t offerParts = 8;
 constexpr std::size_t reportParts = 9;
+constexpr std::size_t limitParts = 2;
+constexpr double milli = 1000;
 
 constexpr std::array<std::string_view, 11> outcomeNames
     = {"answered", "busy", "ejected", "leaving", "expired", "rejected", "unconnected", "broken", "timed-out", "repeat-limit", "withdrawn"};
@@ -102,6 +105,24 @@
     return absl::SimpleAtoi(toAbsl(headers.find(revisionField).value_or("")), &revision) ? revision : 0;
 }
 
+/// Appends a limit in requests per 1000 s, and the time until it has room in milliseconds.
+void appendLimit(HeaderList &headers, std::optional<double> limit, Duration wait)
+{
+    if (limit) {
+        headers.add(limitField, absl::StrCat(static_cast<std::int64_t>(*limit * milli), " ", toMs(wait)));
+    }
+}
+
+/// @param wait set to the time until the limit has room
+/// @return the limit in requests per second; nothing when the field is missing or malformed
+std::optional<double> readLimit(const HeaderList &headers, Duration &wait)
+{
+    PartReader reader(headers.find(limitField).value_or(""), limitParts);
+    const double limit = static_cast<double>(reader.number()) / milli;
+    wait = reader.duration();
+    return reader.isValid() ? std::optional(limit) : std::nullopt;
+}
+
 } // namespace
 
 std::string_view offerOutcomeName(OfferOutcome outcome)
@@ -136,6 +157,7 @@
     }
     headers.add(originField, absl::StrCat(this->callerService, " ", this->failureDomain));
     headers.add(revisionField, absl::StrCat(this->registryRevision));
+    appendLimit(headers, this->knownLimit, Duration::zero());
 }
 
 absl::StatusOr<Offer> Offer::fromHeaders(const HeaderList &headers)
@@ -159,6 +181,8 @@
     offer.callerService = originReader.text();
     offer.failureDomain = originReader.text();
     offer.registryRevision = readRevision(headers);
+    Duration unused{};
+    offer.knownLimit = readLimit(headers, unused);
     if (!offerReader.isValid() || !originReader.isValid()) {
         return makeError(ErrorKind::InvalidRequest, "offer from a peer has a missing or malformed header field");
     }
@@ -187,6 +211,7 @@
                              " ",
                              toMs(this->retryAfter)));
     headers.add(revisionField, absl::StrCat(this->registryRevision));
+    appendLimit(headers, this->load.limit, this->load.limitWait);
 }
 
 std::optional<OfferReport> OfferReport::fromHeaders(const HeaderList &headers)
@@ -208,6 +233,7 @@
     }
     report.outcome = static_cast<OfferOutcome>(outcome);
     report.registryRevision = readRevision(headers);
+    report.load.limit = readLimit(headers, report.load.limitWait);
     return report;
 }
 
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -32,6 +32,7 @@
     std::string callerService; ///< Service of the VM that the request comes from.
     std::string failureDomain; ///< Failure domain of the ingress.
     std::uint64_t registryRevision = 0; ///< Registry revision that the ingress has applied; 0 if unknown.
+    std::optional<double> knownLimit; ///< Limit of the upstream, as last reported to the ingress; tells a home that has just started.
 
     /// Appends the offer to the header fields of a message.
     void appendTo(HeaderList &headers) const;
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -46,20 +46,29 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/// @return the response of an upstream without the header fields that only nodes exchange
-PeerResponse toCallerResponse(PeerResponse upstreamResponse)
+/// @return the response of an upstream without the header fields that only nodes exchange, or that only concern nodes
+PeerResponse toCallerResponse(PeerResponse upstreamResponse, const Dialect &dialect)
 {
     PeerResponse response;
     response.status = upstreamResponse.status;
     response.body = std::move(upstreamResponse.body);
     for (const HeaderField &field : upstreamResponse.headers.all()) {
-        if (!field.name.starts_with(PeerHeader::prefix) && field.name != "content-length") {
+        const bool isForNodes
+            = field.name.starts_with(PeerHeader::prefix) || field.name == dialect.requestLimit || field.name == dialect.leaving;
+        if (!isForNodes && field.name != "content-length") {
             response.headers.add(field.name, field.value);
         }
     }
     return response;
 }
 
+/// @return a Retry-After that callers honour, at least minRetryAfter while there is time for it
+Duration honouredRetryAfter(TimePoint deadline, Duration wait, TimePoint now)
+{
+    const Duration atLeast = std::max(wait, minRetryAfter);
+    return deadline > now ? std::min<Duration>(atLeast, (deadline - now) / retryAfterShare) : atLeast;
+}
+
 /// Appends the report of a home that declined a request, such as "i-7 busy wait_ms=300 gray=0.02 age_ms=2".
 /// @param text summary to append to; about 1000 bytes at most, later reports are left out
 /// @param age time since the offer was started
@@ -342,6 +351,7 @@
     Target target;
     target.allowTrial = request.allowTrial;
     target.maxQueueWait = isHedge ? Duration::zero() : std::chrono::duration_cast<Duration>(context.route->targetLatency * queueWaitShare);
+    request.maxLimitWait = target.maxQueueWait;
     if (context.declinedOffers.size() < offersBeforeQueueing) {
         target.upstream = this->placement.choose(request, excluded, now);
     }
@@ -356,7 +366,8 @@
     target.allowUnhealthy = true;
     for (const std::string &upstream : context.rejectedBy) {
         UpstreamView *candidate = this->placement.find(upstream);
-        if (candidate != nullptr && !candidate->entry.draining && now >= candidate->unreachableUntil) {
+        if (candidate != nullptr && !candidate->entry.draining && now >= candidate->unreachableUntil
+            && candidate->remainingLimitWait(now) <= target.maxQueueWait) {
             target.upstream = candidate;
         }
     }
@@ -368,6 +379,14 @@
     Target target;
     target.allowUnhealthy = true;
     target.maxQueueWait = this->maxQueueWait(context, now);
+    std::vector<std::string> listed = context.excluded;
+    for (const DeclinedOffer &declinedOffer : context.declinedOffers) {
+        listed.push_back(declinedOffer.upstream);
+    }
+    for (DeclinedOffer &limited : this->placement.limitedOffers(request, listed, now)) {
+        context.limitWait = std::min(context.limitWait.value_or(limited.wait), limited.wait);
+        context.declinedOffers.push_back(std::move(limited));
+    }
     while (!context.declinedOffers.empty()) {
         const auto chosen = Placement::chooseDeclinedOffer(request, context.declinedOffers, target.maxQueueWait);
         if (!chosen) {
@@ -437,6 +456,7 @@
     offer.callerService = this->settings.service;
     offer.failureDomain = this->settings.failureDomain;
     offer.registryRevision = this->revisions.applied();
+    offer.knownLimit = target.upstream->load.limit;
     PeerRequest request;
     request.method = context.request.method;
     request.path = context.request.target;
@@ -565,7 +585,11 @@
         declinedOffer.upstream = attempt.upstream;
         declinedOffer.wait = report.outcome == OfferOutcome::Busy ? report.retryAfter : Duration::zero();
         declinedOffer.grayProbability = report.load.grayProbability;
-        context.retryAfter = std::max(context.retryAfter, declinedOffer.wait);
+        if (report.load.limit && report.load.limitWait > Duration::zero()) {
+            context.limitWait = std::min(context.limitWait.value_or(declinedOffer.wait), declinedOffer.wait);
+        } else {
+            context.retryAfter = std::max(context.retryAfter, declinedOffer.wait);
+        }
         // If a home declines a second time, the estimates of its first report no longer hold.
         if (std::ranges::find(context.excluded, attempt.upstream) == context.excluded.end()) {
             context.declinedOffers.push_back(std::move(declinedOffer));
@@ -610,7 +634,7 @@
 
 PeerResponse RequestRouter::respond(const RequestContext &context, Attempt &attempt)
 {
-    PeerResponse response = toCallerResponse(std::move(*attempt.result));
+    PeerResponse response = toCallerResponse(std::move(*attempt.result), this->dialect);
     const TimePoint now = NodeClock::now();
     this->metrics.countRequest(context.service, attempt.upstream, std::nullopt, now - context.started);
     if (response.status >= serverError || context.attempts.size() > 1 || now > context.targetDeadline) {
@@ -632,7 +656,7 @@
 PeerResponse RequestRouter::fail(RequestContext &context, bool timedOut)
 {
     if (context.failure) {
-        return toCallerResponse(std::move(*context.failure));
+        return toCallerResponse(std::move(*context.failure), this->dialect);
     }
     const bool isCommitted = this->isRunning(context);
     if (context.mayHaveRun || isCommitted) {
@@ -641,11 +665,21 @@
     }
     const TimePoint now = NodeClock::now();
     if (!timedOut && !this->mayStart(context, now)) {
-        return this->refuse(context, ErrorKind::Draining, std::max<Duration>(this->drainSchedule->exit - now, minRetryAfter));
+        return this->refuse(context, ErrorKind::Draining, honouredRetryAfter(context.deadline, this->drainSchedule->exit - now, now));
+    }
+    const bool isOverloaded = context.lastOutcome == OfferOutcome::Expired || timedOut;
+    return this->refuse(context, isOverloaded ? ErrorKind::Overloaded : ErrorKind::NoUpstream, this->retryAfter(context, now));
+}
+
+Duration RequestRouter::retryAfter(const RequestContext &context, TimePoint now) const
+{
+    const Duration slotWait = honouredRetryAfter(context.deadline, context.retryAfter, now);
+    if (!context.limitWait) {
+        return slotWait;
     }
-    const Duration wait = std::max(context.retryAfter, minRetryAfter);
-    return this->refuse(
-        context, context.lastOutcome == OfferOutcome::Expired || timedOut ? ErrorKind::Overloaded : ErrorKind::NoUpstream, wait);
+    // The upstreams take no request before, so a caller that came back sooner would come in vain.
+    const Duration limitWait = std::max<Duration>(*context.limitWait, minRetryAfter);
+    return context.retryAfter > Duration::zero() ? std::min(slotWait, limitWait) : limitWait;
 }
 
 PeerResponse RequestRouter::refuse(const RequestContext &context, ErrorKind kind, Duration retryAfter) const
@@ -661,8 +695,7 @@
         response.headers.add(this->dialect.requestId, context.id);
     }
     if (retryAfter > Duration::zero()) {
-        const Duration most = context.deadline > now ? (context.deadline - now) / retryAfterShare : retryAfter;
-        response.headers.add("retry-after", std::to_string(seconds(std::min(retryAfter, most))));
+        response.headers.add("retry-after", std::to_string(seconds(retryAfter)));
     }
     this->log.info("request refused",
                    {{"request_id", context.id},
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -123,6 +123,7 @@
         OfferOutcome lastOutcome = OfferOutcome::Unconnected;
         bool mayHaveRun = false; ///< An upstream ran the request, or may have run it.
         Duration retryAfter{}; ///< Longest wait for a slot that a home has reported.
+        std::optional<Duration> limitWait; ///< Shortest wait for room in the limit of an upstream, among those without room.
         bool hedged = false; ///< The time to send a hedge has passed, whether or not one was sent.
     };
 
@@ -151,6 +152,9 @@
     /// soon.
     Target chooseFallback(RequestContext &context, PlacementRequest request, TimePoint now);
 
+    /// @return true Retry-After of a request that no upstream takes now
+    Duration retryAfter(const RequestContext &context, TimePoint now) const;
+
     Duration maxQueueWait(const RequestContext &context, TimePoint now) const;
 
     /// @return when the request is hedged, or nothing when it is not to be
--- a/unittests/admissionqueuetest.cpp
+++ b/unittests/admissionqueuetest.cpp
@@ -193,9 +193,54 @@
     CPPUNIT_TEST(servesAcceptedRequestsUnderOverload);
     CPPUNIT_TEST(servesOnTimeUnderOverload);
     CPPUNIT_TEST(servesShortWorkBeforeLongUnderOverload);
+    CPPUNIT_TEST(limitIsUsedInTheOrderOfValue);
+    CPPUNIT_TEST(estimatesWaitForLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a limit whose room goes to the oldest requests instead of the most valuable ones, and against slots that are granted
+    /// beyond it.
+    void limitIsUsedInTheOrderOfValue()
+    {
+        AdmissionQueue queue(8);
+        queue.setLimit(1.0, start);
+        queue.push(requestOf(1, 2, 800ms, 200ms, start + 30s));
+        queue.push(requestOf(2, 0, 800ms, 200ms, start + 30s));
+        queue.push(requestOf(3, 1, 800ms, 200ms, start + 30s));
+        CPPUNIT_ASSERT(queue.advance(start).granted.empty());
+        std::vector<std::uint64_t> order;
+        for (TimePoint now = start; now < start + 4s; now += 100ms) {
+            for (const std::uint64_t ticket : queue.advance(now).granted) {
+                order.push_back(ticket);
+            }
+        }
+        CPPUNIT_ASSERT((order == std::vector<std::uint64_t>{2, 3, 1}));
+    }
+
+    /// Guards against requests that wait in vain at a limited upstream, and against ones that are turned away although it has room.
+    void estimatesWaitForLimit()
+    {
+        AdmissionQueue queue(8);
+        const AdmissionRequest request = requestOf(9, 1, 800ms, 200ms, start + 30s);
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) == Duration::zero());
+        queue.setLimit(0.5, start);
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) == Duration(2s));
+        queue.push(requestOf(1, 0, 800ms, 200ms, start + 30s));
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) == Duration(4s));
+        queue.push(requestOf(2, 3, 800ms, 200ms, start + 30s));
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) == Duration(4s));
+        queue.setLimit(0, start);
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) == Duration::max());
+        queue.setLimit(std::nullopt, start);
+        CPPUNIT_ASSERT(queue.estimateWait(request, start) < Duration(1s));
+        // A request that was withdrawn before it was sent leaves its room.
+        queue.setLimit(1.0, start);
+        const auto granted = queue.advance(start + 1s).granted;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted.size());
+        queue.withdraw(granted.front(), start + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.advance(start + 1s).granted.size());
+    }
+
     /// Guards against urgent or short work that waits behind long work, and against a node with higher estimates of the duration
     /// whose requests are starved by those of other nodes.
     void grantsByValue()
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -25,6 +25,7 @@
     offer.callerService = "reports";
     offer.failureDomain = "a";
     offer.registryRevision = 9'000'000'000;
+    offer.knownLimit = 2.5;
     return offer;
 }
 
@@ -57,13 +58,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("reports"), offer->callerService);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), offer->failureDomain);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'000'000'000}, offer->registryRevision);
+        CPPUNIT_ASSERT(offer->knownLimit == 2.5);
 
         Offer plain = sample();
+        plain.knownLimit.reset();
         plain.idempotent = plain.allowTrial = plain.isRepeat = plain.allowUnhealthy = false;
         HeaderList plainHeaders;
         plain.appendTo(plainHeaders);
         const auto read = Offer::fromHeaders(plainHeaders);
         CPPUNIT_ASSERT(read.ok() && !read->idempotent && !read->allowTrial && !read->isRepeat && !read->allowUnhealthy);
+        CPPUNIT_ASSERT(!read->knownLimit);
     }
 
     /// Guards against a request that no home accepts, or whose response is taken for that of another one, because its id has odd
@@ -88,6 +92,9 @@
             OfferReport report;
             report.outcome = static_cast<OfferOutcome>(outcome);
             report.load = UpstreamLoad{2, 5, 3, 0.25, 1.5, 0.4};
+            const bool isLimited = outcome % 2 == 0;
+            report.load.limit = isLimited ? std::optional(0.8) : std::nullopt;
+            report.load.limitWait = isLimited ? 1250ms : 0ms;
             report.runDuration = 321ms;
             report.retryAfter = 77ms;
             HeaderList headers;
@@ -100,6 +107,7 @@
             CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, read->load.grayProbability, 0.01);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, read->load.slowness, 0.01);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, read->load.shedShare, 0.01);
+            CPPUNIT_ASSERT(read->load.limit == report.load.limit && read->load.limitWait == report.load.limitWait);
             CPPUNIT_ASSERT(read->runDuration == report.runDuration && read->retryAfter == report.retryAfter);
         }
     }
--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(discountsOldReports);
     CPPUNIT_TEST(choosesAmongDeclinedOffers);
     CPPUNIT_TEST(estimatesDurations);
+    CPPUNIT_TEST(asksNoLimitedUpstreamWithoutRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +125,38 @@
         }
     }
 
+    /// Guards against offers to upstreams whose limit has no room, one home after the other, against a short wait that is not accepted, and
+    /// against a limit that is believed after it may have ended.
+    void asksNoLimitedUpstreamWithoutRoom()
+    {
+        Placement placement("a", std::mt19937_64(7));
+        const std::vector<UpstreamEntry> entries = {entryOf("near", "a"), entryOf("far", "b")};
+        placement.setEntries(entries, start);
+        UpstreamLoad limited{0, 0, 3, 0, 1, 0};
+        limited.limit = 2.0;
+        limited.limitWait = 400ms;
+        placement.report("near", limited, start);
+        PlacementRequest request = requestOf(true);
+        request.maxLimitWait = 80ms;
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), placement.choose(request, {}, start)->entry.id);
+        placement.report("far", limited, start);
+        CPPUNIT_ASSERT(placement.choose(request, {}, start + 100ms) == nullptr);
+        const auto offers = placement.limitedOffers(request, {}, start + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, offers.size());
+        CPPUNIT_ASSERT(offers.front().wait == Duration(300ms));
+        const std::string excluded[] = {"near"};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placement.limitedOffers(request, excluded, start + 100ms).size());
+        request.maxLimitWait = 500ms;
+        CPPUNIT_ASSERT(placement.choose(request, {}, start + 100ms) != nullptr);
+        request.maxLimitWait = Duration::zero();
+        CPPUNIT_ASSERT(placement.choose(request, {}, start + 400ms) != nullptr);
+        limited.limitWait = 60s;
+        placement.report("near", limited, start);
+        placement.report("far", limited, start);
+        CPPUNIT_ASSERT(placement.choose(request, {}, start + 900ms) == nullptr);
+        CPPUNIT_ASSERT(placement.choose(request, {}, start + 1100ms) != nullptr);
+    }
+
     /// Guards against a load imbalance between equal upstreams, which arises when all nodes choose the same one.
     void spreadsEqualUpstreams()
     {
