Test of upstreams that say that they leave, which fails

Rows: the entry stays ready, is written again, is removed and comes back, the home is killed, the registry is silent.

--- a/processtests/noticetest.cpp
+++ b/processtests/noticetest.cpp
@@ -27,6 +27,10 @@
     NoticeFleet()
         : fleet(nodeCount)
     {
+        for (unsigned upstream = 0; upstream < nodeCount; ++upstream) {
+            this->fleet.upstreams[upstream]->startTimeMs = StandIns::unixMilliseconds() - 60'000;
+            this->fleet.publishEntry(upstream, "ready");
+        }
         CPPUNIT_ASSERT(this->fleet.startAll());
     }
 
@@ -126,6 +130,8 @@
     CPPUNIT_TEST(malformedLimitIsNoLimit);
     CPPUNIT_TEST(endedLimitIsNoticed);
     CPPUNIT_TEST(rejectsAtOnceWhenNoLimitHasRoom);
+    CPPUNIT_TEST(leavingUpstreamGetsNoNewRequests);
+    CPPUNIT_TEST(upstreamThatStartsAgainIsUsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -286,6 +292,95 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(refused), refused >= 10);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("answers without a promise", 0U, fleet.statuses[504] + fleet.statuses[502]);
     }
+
+    /// Guards against requests to an upstream that has said in an answer that it leaves, whatever the registry says and whatever
+    /// happens to its home.
+    void leavingUpstreamGetsNoNewRequests()
+    {
+        const struct
+        {
+            const char *name;
+            std::function<void(NoticeFleet &, unsigned upstream)> disturb; ///< Called 1 s after the upstream began to leave.
+        } table[] = {
+            {"entry stays ready", [](NoticeFleet &, unsigned) {}},
+            {"entry is written again",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.publishEntry(upstream, "ready");
+             }},
+            {"entry is removed and comes back",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.registry.remove("servers/" + fleet.fleet.upstreams[upstream]->id);
+                 fleet.fleet.runFor(1s);
+                 fleet.fleet.publishEntry(upstream, "ready");
+             }},
+            {"home killed",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.killAndStart(upstream);
+             }},
+            {"silent registry, rejects",
+             [](NoticeFleet &fleet, unsigned upstream) {
+                 fleet.fleet.registry.setSilent(true);
+                 fleet.fleet.upstreams[upstream]->behaviour.rejectsFirstArrivals = true;
+             }},
+        };
+        // Three rows at a time, each on an upstream of its own; the fourth upstream stays.
+        constexpr std::size_t rowsAtOnce = 3;
+        for (std::size_t first = 0; first < std::size(table); first += rowsAtOnce) {
+            NoticeFleet fleet;
+            const std::vector<unsigned> upstreams = fleet.fleet.backNodes();
+            const std::size_t rows = std::min(rowsAtOnce, std::size(table) - first);
+            fleet.startCallers(4, 40ms);
+            fleet.fleet.runFor(1s);
+            for (std::size_t i = 0; i < rows; ++i) {
+                fleet.fleet.upstreams[upstreams[i]]->behaviour.saysLeaving = true;
+            }
+            fleet.fleet.runFor(1s);
+            for (std::size_t i = 0; i < rows; ++i) {
+                table[first + i].disturb(fleet, upstreams[i]);
+            }
+            fleet.fleet.runFor(5s);
+            fleet.stopCallers();
+            std::string names;
+            for (std::size_t i = 0; i < rows; ++i) {
+                names += std::string(i == 0 ? "" : ", ") + fleet.fleet.upstreams[upstreams[i]]->id + ": " + table[first + i].name;
+            }
+            const std::string violations = fleet.violationText();
+            CPPUNIT_ASSERT_MESSAGE(names + violations, violations.empty());
+            CPPUNIT_ASSERT_MESSAGE(names, !fleet.hasPassedOnNotice);
+        }
+    }
+
+    /// Guards against an upstream that stays without requests after it has left and started again under its id, also when the registry
+    /// did not answer meanwhile, and when the home was frozen.
+    void upstreamThatStartsAgainIsUsed()
+    {
+        NoticeFleet fleet;
+        const std::vector<unsigned> upstreams = fleet.fleet.backNodes();
+        fleet.startCallers(4, 40ms);
+        fleet.fleet.runFor(500ms);
+        for (const unsigned upstream : {upstreams[0], upstreams[1]}) {
+            fleet.fleet.upstreams[upstream]->behaviour.saysLeaving = true;
+        }
+        fleet.fleet.runFor(1s);
+        fleet.fleet.registry.setSilent(true);
+        fleet.fleet.processes[upstreams[1]]->signal(SIGSTOP);
+        fleet.fleet.runFor(2s);
+        for (const unsigned upstream : {upstreams[0], upstreams[1]}) {
+            fleet.fleet.upstreams[upstream]->behaviour.saysLeaving = false;
+            fleet.fleet.upstreams[upstream]->startTimeMs = StandIns::unixMilliseconds();
+            fleet.fleet.publishEntry(upstream, "ready");
+        }
+        fleet.fleet.runFor(1s);
+        fleet.fleet.processes[upstreams[1]]->signal(SIGCONT);
+        fleet.fleet.registry.setSilent(false);
+        fleet.fleet.runFor(4s);
+        const std::size_t before[] = {fleet.arrivals(upstreams[0]), fleet.arrivals(upstreams[1])};
+        fleet.fleet.runFor(1s);
+        fleet.stopCallers();
+        for (std::size_t i = 0; i < std::size(before); ++i) {
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(i), fleet.arrivals(upstreams[i]) - before[i] >= 15);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NoticeTest);
