Send nothing more to an upstream that says that it leaves

Requests reached upstreams that had said Server-Leaving in their answers, for as long as their entry was not draining (DRAIN): 1,610 in 5 s on real processes.

Cause: only the registry decided. Now the home reads the field with each answer, FleetView keeps it beside the entries and lets it count as draining until the upstream starts again, and homes pass it on in their reports.

--- a/galenarack/core/clock.cpp
+++ b/galenarack/core/clock.cpp
@@ -11,4 +11,10 @@
     return time_point(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+std::int64_t unixMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 } // namespace Galenarack
--- a/galenarack/core/clock.h
+++ b/galenarack/core/clock.h
@@ -31,6 +31,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
 
+/// @return the time of day of this VM as Unix time, in milliseconds. It may jump, and differs between VMs.
+std::int64_t unixMilliseconds();
+
 /// Converts a value of toMilliseconds() back to a time point.
 constexpr TimePoint fromMilliseconds(std::int64_t milliseconds)
 {
--- a/galenarack/fleet/fleetview.h
+++ b/galenarack/fleet/fleetview.h
@@ -35,6 +35,13 @@
     /// @param revision registry revision of the removal
     void removeEntry(std::string_view id, std::uint64_t revision);
 
+    /// Records that an upstream has said in a response that it is shutting down. Its entry counts as draining from now on, whatever the
+    /// registry says, until it names a later start.
+    void markLeaving(std::string_view id, const LeavingMark &mark);
+
+    /// @return the mark of the upstream, or nothing when it does not hold for its entry
+    std::optional<LeavingMark> leavingMark(std::string_view id) const;
+
     /// @return the configuration in force, or null before the first one is applied
     const std::shared_ptr<const TrafficConfig> &config() const
     {
@@ -61,10 +68,14 @@
     }
 
 private:
+    bool isMarkedLeaving(const UpstreamEntry &entry) const;
+    void forgetOldMarks(std::int64_t unixMs);
+
     std::shared_ptr<const TrafficConfig> current;
     std::map<std::string, UpstreamEntry, std::less<>> upstreams;
     std::map<std::string, std::uint64_t, std::less<>>
         removalRevisions; ///< Registry revision of each removal; rejects older entries that arrive late.
+    std::map<std::string, LeavingMark, std::less<>> leavingMarks; ///< By id of the upstream.
     std::uint64_t changes = 0;
     Log log{"fleet"};
 };
--- a/galenarack/fleet/upstreamentry.h
+++ b/galenarack/fleet/upstreamentry.h
@@ -23,4 +23,13 @@
     std::uint64_t revision = 0; ///< Registry revision of the write; orders all entries.
 };
 
+/// Record of an upstream that has said in a response that it is shutting down.
+struct LeavingMark
+{
+    std::int64_t startTimeMs = 0; ///< Start time of the upstream in the entry that its home had then, Unix time in ms.
+    /// Unix time on the VM of the upstream at which its home sent the request of the latest such response, in ms. An upstream that started
+    /// later has not said it.
+    std::int64_t sentMs = 0;
+};
+
 } // namespace Galenarack
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -106,7 +106,7 @@
                          const Dialect &dialect,
                          std::size_t responseBytes,
                          const RetryBound &retry,
-                         const FleetView &view,
+                         FleetView &view,
                          RevisionTracker &revisions)
     : executor(std::move(executor))
     , vm(std::move(vm))
@@ -147,6 +147,7 @@
     report.outcome = outcome;
     report.load = this->load(offer.failureDomain, NodeClock::now());
     report.retryAfter = retryAfter;
+    report.leaving = this->view.leavingMark(offer.upstream);
     report.registryRevision = this->revisions.applied();
     report.appendTo(response.headers);
     return response;
@@ -427,6 +428,7 @@
     report.outcome = outcome;
     report.load = this->load(offer.failureDomain, now);
     report.runDuration = now - started;
+    report.leaving = this->view.leavingMark(offer.upstream);
     report.registryRevision = this->revisions.applied();
     report.appendTo(answer.headers);
     co_return answer;
@@ -513,11 +515,17 @@
 
 void HomeService::listenForNotices(UpstreamCall &call, std::string upstream)
 {
-    call.onHeader = [this, upstream = std::move(upstream)](unsigned status, const HeaderList &notices) {
+    const LeavingMark mark{this->observedStartMs, unixMilliseconds()};
+    call.onHeader = [this, mark, upstream = std::move(upstream)](unsigned status, const HeaderList &notices) {
         // A misdirected request was answered by another upstream at the same address.
-        if (status != misdirected) {
-            this->onNotice(upstream, UpstreamNotice::fromHeaders(notices, this->dialect));
+        if (status == misdirected) {
+            return;
         }
+        const UpstreamNotice notice = UpstreamNotice::fromHeaders(notices, this->dialect);
+        if (notice.leaving) {
+            this->view.markLeaving(upstream, mark);
+        }
+        this->onNotice(upstream, notice);
     };
 }
 
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -35,6 +35,7 @@
     /// @param upstream address of the upstream on this VM
     /// @param responseBytes maximum size of all responses of the upstream in transit, in bytes
     /// @param retry fleet-wide limit on repeats
+    /// @param view learns which upstream has said that it leaves
     /// @param revisions learns the registry revisions of other nodes from their offers
     HomeService(boost::asio::any_io_executor executor,
                 boost::asio::ip::address vm,
@@ -42,7 +43,7 @@
                 const Dialect &dialect,
                 std::size_t responseBytes,
                 const RetryBound &retry,
-                const FleetView &view,
+                FleetView &view,
                 RevisionTracker &revisions);
 
     /// Handles an offer. The response carries an OfferReport, unless the offer is malformed.
@@ -157,7 +158,7 @@
     boost::asio::any_io_executor executor;
     boost::asio::ip::address vm;
     Dialect dialect;
-    const FleetView &view;
+    FleetView &view;
     RevisionTracker &revisions;
     UpstreamPool pool;
     AdmissionQueue queue;
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -22,9 +22,11 @@
 constexpr std::string_view reportField = "galenarack-report";
 constexpr std::string_view revisionField = "galenarack-revision"; ///< Changes seldom, so HPACK can index it.
 constexpr std::string_view limitField = "galenarack-limit"; ///< Only present while an upstream names a limit.
+constexpr std::string_view leavingField = "galenarack-leaving"; ///< Only present once an upstream has said that it leaves.
 constexpr std::size_t offerParts = 8;
 constexpr std::size_t reportParts = 9;
 constexpr std::size_t limitParts = 2;
+constexpr std::size_t leavingParts = 2;
 constexpr double milli = 1000;
 
 constexpr std::array<std::string_view, 11> outcomeNames
@@ -212,6 +214,9 @@
                              toMs(this->retryAfter)));
     headers.add(revisionField, absl::StrCat(this->registryRevision));
     appendLimit(headers, this->load.limit, this->load.limitWait);
+    if (this->leaving) {
+        headers.add(leavingField, absl::StrCat(this->leaving->startTimeMs, " ", this->leaving->sentMs));
+    }
 }
 
 std::optional<OfferReport> OfferReport::fromHeaders(const HeaderList &headers)
@@ -234,6 +239,9 @@
     report.outcome = static_cast<OfferOutcome>(outcome);
     report.registryRevision = readRevision(headers);
     report.load.limit = readLimit(headers, report.load.limitWait);
+    PartReader leavingReader(headers.find(leavingField).value_or(""), leavingParts);
+    const LeavingMark mark{leavingReader.number(), leavingReader.number()};
+    report.leaving = leavingReader.isValid() ? std::optional(mark) : std::nullopt;
     return report;
 }
 
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/fleet/upstreamentry.h>
 #include <galenarack/peer/peermessage.h>
 #include <galenarack/policy/placement.h>
 
@@ -67,6 +68,7 @@
     UpstreamLoad load; ///< Load and health of the upstream.
     Duration runDuration{}; ///< Time that the upstream took for the request; zero if it was not run.
     Duration retryAfter{}; ///< Expected time until the home would accept such a request; zero if unknown.
+    std::optional<LeavingMark> leaving; ///< Set once the upstream has said in a response that it is shutting down.
     std::uint64_t registryRevision = 0; ///< Registry revision that the home has applied; 0 if unknown.
 
     /// Appends the report to the header fields of a message.
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -93,7 +93,7 @@
 RequestRouter::RequestRouter(asio::any_io_executor executor,
                              RouterSettings settings,
                              const Dialect &dialect,
-                             const FleetView &view,
+                             FleetView &view,
                              HomeService &home,
                              PeerLinks &links,
                              RevisionTracker &revisions,
@@ -520,6 +520,9 @@
     if (attempt.report) {
         this->revisions.onHeard(attempt.report->registryRevision, now);
         this->placement.report(attempt.upstream, attempt.report->load, now);
+        if (attempt.report->leaving) {
+            this->view.markLeaving(attempt.upstream, *attempt.report->leaving);
+        }
         if (attempt.report->outcome == OfferOutcome::Ejected) {
             this->placement.reportEjected(attempt.upstream, attempt.report->retryAfter, now);
         }
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -41,7 +41,7 @@
     RequestRouter(boost::asio::any_io_executor executor,
                   RouterSettings settings,
                   const Dialect &dialect,
-                  const FleetView &view,
+                  FleetView &view,
                   HomeService &home,
                   PeerLinks &links,
                   RevisionTracker &revisions,
@@ -195,7 +195,7 @@
     boost::asio::any_io_executor executor;
     RouterSettings settings;
     Dialect dialect;
-    const FleetView &view;
+    FleetView &view;
     HomeService &home;
     PeerLinks &links;
     RevisionTracker &revisions;
--- a/unittests/fleetviewtest.cpp
+++ b/unittests/fleetviewtest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST_SUITE(FleetViewTest);
     CPPUNIT_TEST(upstreamOfVmIsOfNamedService);
     CPPUNIT_TEST(viewNeverGoesBack);
+    CPPUNIT_TEST(leavingHoldsUntilTheNextStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,6 +93,41 @@
         CPPUNIT_ASSERT(!view.applyEntry(makeEntry("i-1", "reports", "10.1.0.8", 8), NodeClock::now()));
         CPPUNIT_ASSERT(view.applyEntry(makeEntry("i-1", "reports", "10.1.0.8", 9), NodeClock::now()));
     }
+
+    /// Guards against an upstream that has said that it leaves and is used again because of an entry, and against one that is not used
+    /// although it has started again.
+    void leavingHoldsUntilTheNextStart()
+    {
+        const auto entryOf = [](std::uint64_t revision, std::int64_t startTimeMs) {
+            UpstreamEntry entry = makeEntry("i-1", "reports", "10.1.0.8", revision);
+            entry.startTimeMs = startTimeMs;
+            return entry;
+        };
+        const struct
+        {
+            const char *name;
+            LeavingMark mark;
+            std::int64_t startTimeMs; ///< Start time in the next entry.
+            bool draining; ///< Expected state of the upstream.
+        } table[] = {{"same start", {1000, 5000}, 1000, true},
+                     {"next start", {1000, 5000}, 6000, false},
+                     {"start that was not heard of before it left", {500, 5000}, 4000, true},
+                     {"earlier start", {1000, 5000}, 900, true}};
+        for (const auto &row : table) {
+            for (const bool isListed : {true, false}) {
+                FleetView view;
+                CPPUNIT_ASSERT(view.applyEntry(entryOf(1, row.mark.startTimeMs), NodeClock::now()));
+                if (!isListed) {
+                    view.removeEntry("i-1", 2);
+                }
+                view.markLeaving("i-1", row.mark);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, isListed, isListed && view.find("i-1")->draining);
+                CPPUNIT_ASSERT_MESSAGE(row.name, view.applyEntry(entryOf(3, row.startTimeMs), NodeClock::now()));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.draining, view.find("i-1")->draining);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.draining, view.leavingMark("i-1").has_value());
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetViewTest);
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -95,6 +95,9 @@
             const bool isLimited = outcome % 2 == 0;
             report.load.limit = isLimited ? std::optional(0.8) : std::nullopt;
             report.load.limitWait = isLimited ? 1250ms : 0ms;
+            if (isLimited) {
+                report.leaving = LeavingMark{1'700'000'000'000, 1'700'000'009'000};
+            }
             report.runDuration = 321ms;
             report.retryAfter = 77ms;
             HeaderList headers;
@@ -108,6 +111,9 @@
             CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, read->load.slowness, 0.01);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, read->load.shedShare, 0.01);
             CPPUNIT_ASSERT(read->load.limit == report.load.limit && read->load.limitWait == report.load.limitWait);
+            CPPUNIT_ASSERT_EQUAL(isLimited, read->leaving.has_value());
+            CPPUNIT_ASSERT(!isLimited || read->leaving->sentMs == report.leaving->sentMs);
+            CPPUNIT_ASSERT(!isLimited || read->leaving->startTimeMs == report.leaving->startTimeMs);
             CPPUNIT_ASSERT(read->runDuration == report.runDuration && read->retryAfter == report.retryAfter);
         }
     }
