--- a/galenarack/config/serviceclient.cpp
+++ b/galenarack/config/serviceclient.cpp
@@ -111,6 +111,10 @@
     ServiceReply reply;
     reply.status = parser.get().result_int();
     reply.etag = withoutQuotes(parser.get()[http::field::etag]);
+    if (!this->settings.notedField.empty()) {
+        const auto noted = parser.get()[this->settings.notedField];
+        reply.noted = std::string(noted.data(), noted.size());
+    }
     reply.body = std::move(parser.get().body());
     if (!parser.get().keep_alive() || !this->settings.keepsConnection) {
         this->stream.reset();
--- a/galenarack/config/serviceclient.h
+++ b/galenarack/config/serviceclient.h
@@ -39,6 +39,7 @@
     /// Whether the connection is kept for further calls. On a connection of its own, a call shows whether the service answers now, even
     /// if an answer on an earlier connection was lost.
     bool keepsConnection = true;
+    std::string notedField; ///< Header field whose value each reply is to contain; may be empty.
     Duration startJitter = std::chrono::seconds(1); ///< Longest random delay of the first call.
     /// Longest random delay before sections are fetched, multiplied by the number of missing sections plus one. When 660 nodes fetch one
     /// section after the same change, they make 660 x 2 / 1 s = 1,320 calls a second; the service takes about 2,000.
@@ -51,6 +52,7 @@
 {
     unsigned status = 0; ///< HTTP status code.
     std::string etag; ///< Value of the ETag header without quotation marks.
+    std::string noted; ///< Value of ServiceSettings::notedField; empty when the header has none.
     std::string body;
 };
 
--- /dev/null
+++ b/galenarack/fleet/registryposition.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace Galenarack {
+
+/// A point in the history of the registry.
+///
+/// The registry may come back from a copy that is some seconds old. It then gives out the lost revisions again, for other changes, and
+/// its era rises by one. Revisions therefore order changes only within one era.
+struct RegistryPosition
+{
+    std::uint64_t era = 0; ///< Number of the history; 0 while the registry names none.
+    std::uint64_t revision = 0; ///< Revision within that history; 0 before the first read.
+
+    auto operator<=>(const RegistryPosition &) const = default;
+};
+
+} // namespace Galenarack
