--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -145,6 +145,11 @@
     this->historyStart = this->revision;
 }
 
+void RegistryStandIn::setForgetful(bool forgetful)
+{
+    this->forgetful = forgetful;
+}
+
 void RegistryStandIn::setPageSize(std::size_t items)
 {
     this->pageSize = items;
@@ -238,7 +243,7 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoul(target.parameter("wait-ms", "0")));
     asio::steady_timer timer(this->context);
     Json events = Json::array();
-    if (after < this->historyStart || after > this->revision) {
+    if (this->forgetful || after < this->historyStart || after > this->revision) {
         co_return makeResponse(request, 410, "application/json", "{}");
     }
     while (events.empty() && std::chrono::steady_clock::now() < end && this->reachable) {
@@ -319,6 +324,13 @@
     co_return response;
 }
 
+void PlatformUpstream::restart()
+{
+    this->server.close();
+    this->startTimeMs = std::max(unixMilliseconds(), this->startTimeMs + 1);
+    this->server.open();
+}
+
 void PlatformUpstream::recordNamedLimit()
 {
     std::optional<double> limit;
@@ -441,7 +453,13 @@
            {"clusters",
             {{{"name", "back"}, {"health-path", "/healthz"}, {"max-connections", 100}},
              {{"name", "front"}, {"health-path", "/healthz"}, {"max-connections", 100}}}}};
-    this->registry.put("op/config", config.dump());
+    this->lastConfig = config.dump();
+    this->publishConfigAgain();
+}
+
+void PlatformFleet::publishConfigAgain()
+{
+    this->registry.put("op/config", this->lastConfig);
 }
 
 void PlatformFleet::startNode(unsigned node)
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -59,6 +59,9 @@
     /// Discards the history: watches from an earlier revision are answered 410.
     void forgetHistory();
 
+    /// While forgetful, it answers all watches 410.
+    void setForgetful(bool forgetful);
+
     /// A write that a restore has lost, with the latest value of its key.
     struct LostWrite
     {
@@ -127,6 +130,7 @@
     double lostShare = 0;
     std::chrono::milliseconds replyDelay{};
     unsigned rejection = 0; ///< Status of all replies, or 0.
+    bool forgetful = false;
     std::uint64_t historyStart = 0; ///< Revision before which the history is gone.
     unsigned lostReplies = 0; ///< Number of replies to watches that are still to be lost.
     std::size_t pageSize = 500;
@@ -160,6 +164,9 @@
     /// @return "IPv4:port" of the upstream
     std::string address() const;
 
+    /// Ends the process of the upstream and starts it again under the same id: closes all connections and begins a new lifetime.
+    void restart();
+
     UpstreamBehaviour behaviour;
     std::int64_t startTimeMs = 1; ///< Start time of the upstream process in its registry entry, in milliseconds.
     /// A request that has arrived, whether or not it is run.
@@ -295,6 +302,9 @@
     /// The same with other routes.
     void publishRoutes(std::span<const ConfiguredRoute> routes);
 
+    /// Writes the configuration that was written last once more, as an operator does whose write was lost.
+    void publishConfigAgain();
+
     /// @return service of a node's upstream
     static std::string serviceOf(unsigned node)
     {
@@ -331,6 +341,7 @@
 
     TemporaryFolder folder;
     unsigned nodeCount;
+    std::string lastConfig; ///< Configuration that was written last.
     std::uint64_t version = 1; ///< Version of the next configuration.
     std::uint64_t sequence = 1; ///< Sequence number of the next upstream entry.
     std::uint16_t basePort; ///< Caller port of the nodes; the peer and operator ports follow.
