Compare changes of the registry within one era only

After the registry came back from a copy, requests went on reaching upstreams whose entries had become draining since (DRAIN), and nodes could stay without a new configuration, with 404 on its routes (CONFIG).

Cause: revisions of two histories were compared: in the view, for watches, between nodes, and for the upstream of a VM. Now a position is the era that the store names in its replies and a revision. The first entry of an upstream in a new era is compared by its own start and sequence, so that an old entry of the copy undoes nothing that is known.

--- a/galenarack/fleet/fleetview.cpp
+++ b/galenarack/fleet/fleetview.cpp
@@ -1,12 +1,17 @@
 #include <galenarack/fleet/fleetview.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace Galenarack {
 
 namespace {
 
+/// The registry removes the entry of a silent upstream within this time; upstreams write every few seconds at most.
+constexpr Duration silentEntryLifetime = std::chrono::seconds(10);
+
 /// A mark is kept for this time after its upstream was removed, because an old entry may come back.
 constexpr std::int64_t markLifetimeMs = 60LL * 60 * 1000;
 
@@ -26,16 +31,59 @@
     return true;
 }
 
-bool FleetView::applyEntry(UpstreamEntry entry, TimePoint)
+bool FleetView::isNewer(const UpstreamEntry &entry, const UpstreamEntry &known)
+{
+    if (entry.position.era <= known.position.era) {
+        return entry.position > known.position;
+    }
+    const auto order = [](const UpstreamEntry &write) {
+        return std::tuple(write.startTimeMs, write.sequence, write.draining);
+    };
+    return order(entry) >= order(known);
+}
+
+bool FleetView::isNewer(const UpstreamEntry &entry, const Removal &removal)
+{
+    if (entry.position.era <= removal.position.era) {
+        return entry.position > removal.position;
+    }
+    return std::pair(entry.startTimeMs, entry.sequence) > std::pair(removal.startTimeMs, removal.sequence);
+}
+
+bool FleetView::applyEntry(UpstreamEntry entry, TimePoint now)
 {
-    const auto removed = this->removalRevisions.find(entry.id);
-    if (removed != this->removalRevisions.end() && removed->second >= entry.revision) {
+    // An entry from before a lost change is remembered by its position, so that later writes of the era are compared with it.
+    if (const auto removed = this->removals.find(entry.id); removed != this->removals.end() && !isNewer(entry, removed->second)) {
+        Removal &removal = removed->second;
+        if (entry.position > removal.position) {
+            this->log.info("removed upstream listed again",
+                           {{"upstream", entry.id},
+                            {"era", static_cast<std::int64_t>(entry.position.era)},
+                            {"revision", static_cast<std::int64_t>(entry.position.revision)}});
+            removal.position = entry.position;
+            removal.returned = std::move(entry);
+            removal.returnedAt = now;
+        }
         return false;
     }
-    const auto known = this->upstreams.find(entry.id);
-    if (known != this->upstreams.end() && known->second.revision >= entry.revision) {
+    if (const auto known = this->upstreams.find(entry.id); known != this->upstreams.end() && !isNewer(entry, known->second)) {
+        if (entry.position > known->second.position) {
+            this->log.info("older entry of upstream listed again",
+                           {{"upstream", entry.id},
+                            {"era", static_cast<std::int64_t>(entry.position.era)},
+                            {"sequence", entry.sequence},
+                            {"known_sequence", known->second.sequence}});
+            known->second.position = entry.position;
+        }
         return false;
     }
+    this->store(std::move(entry));
+    return true;
+}
+
+void FleetView::store(UpstreamEntry entry)
+{
+    const auto known = this->upstreams.find(entry.id);
     entry.draining = entry.draining || this->isMarkedLeaving(entry);
     const bool isNew = known == this->upstreams.end();
     if (isNew || known->second.draining != entry.draining || known->second.startTimeMs != entry.startTimeMs) {
@@ -45,26 +93,54 @@
                         {"vm", entry.address.address().to_string()},
                         {"failure_domain", entry.failureDomain},
                         {"state", entry.draining ? "draining" : "ready"},
-                        {"revision", static_cast<std::int64_t>(entry.revision)}});
+                        {"era", static_cast<std::int64_t>(entry.position.era)},
+                        {"revision", static_cast<std::int64_t>(entry.position.revision)}});
     }
-    this->removalRevisions.erase(entry.id);
+    this->removals.erase(entry.id);
     this->upstreams[entry.id] = std::move(entry);
     ++this->changes;
-    return true;
 }
 
-void FleetView::removeEntry(std::string_view id, std::uint64_t revision)
+void FleetView::removeEntry(std::string_view id, const RegistryPosition &position)
 {
+    if (const auto removed = this->removals.find(id); removed != this->removals.end() && position >= removed->second.position) {
+        removed->second.position = position;
+        removed->second.returned.reset();
+    }
     const auto known = this->upstreams.find(id);
-    if (known == this->upstreams.end() || known->second.revision > revision) {
+    if (known == this->upstreams.end() || known->second.position > position) {
         return;
     }
-    this->log.info("upstream removed", {{"upstream", id}, {"revision", static_cast<std::int64_t>(revision)}});
-    this->removalRevisions[std::string(id)] = revision;
+    this->log.info(
+        "upstream removed",
+        {{"upstream", id}, {"era", static_cast<std::int64_t>(position.era)}, {"revision", static_cast<std::int64_t>(position.revision)}});
+    this->removals[std::string(id)] = {position, known->second.startTimeMs, known->second.sequence, std::nullopt, TimePoint()};
     this->upstreams.erase(known);
     ++this->changes;
 }
 
+void FleetView::dropReturned(std::span<const std::string> listedIds)
+{
+    for (auto &[id, removal] : this->removals) {
+        if (!std::ranges::binary_search(listedIds, id)) {
+            removal.returned.reset();
+        }
+    }
+}
+
+void FleetView::tick(TimePoint now)
+{
+    std::vector<UpstreamEntry> running;
+    for (const auto &[id, removal] : this->removals) {
+        if (removal.returned && now - removal.returnedAt > silentEntryLifetime) {
+            running.push_back(*removal.returned);
+        }
+    }
+    for (UpstreamEntry &entry : running) {
+        this->store(std::move(entry));
+    }
+}
+
 void FleetView::markLeaving(std::string_view id, const LeavingMark &mark)
 {
     this->forgetOldMarks(mark.sentMs);
@@ -117,7 +193,8 @@
 {
     // Another writer may have left an entry with this address and a service that does not exist.
     const auto rank = [this](const UpstreamEntry &entry) {
-        return std::pair(this->current != nullptr && this->current->hasService(entry.service), entry.revision);
+        const bool isNamed = this->current != nullptr && this->current->hasService(entry.service);
+        return std::tuple(isNamed, entry.startTimeMs, entry.position);
     };
     const UpstreamEntry *best = nullptr;
     for (const auto &[id, entry] : this->upstreams) {
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -41,7 +41,7 @@
     for (;;) {
         // A probe costs a tenth of a read.
         const bool isAvailable = !this->outage || (co_await this->probe()).ok();
-        const bool done = isAvailable && (this->revision != 0 ? co_await this->watchOnce() : co_await this->readAll());
+        const bool done = isAvailable && (this->position.revision != 0 ? co_await this->watchOnce() : co_await this->readAll());
         if (!done) {
             co_await this->backOff();
         }
@@ -81,7 +81,11 @@
 {
     const bool isLate = this->revisions.isBehind() && now - std::max(this->revisions.since(), this->watchStarted) > this->settings.watchLag;
     if (this->watching && isLate) {
-        this->log.warn("watch is behind", {{"revision", static_cast<std::int64_t>(this->revision)}});
+        this->log.warn("watch is behind",
+                       {{"era", static_cast<std::int64_t>(this->position.era)},
+                        {"revision", static_cast<std::int64_t>(this->position.revision)},
+                        {"heard_era", static_cast<std::int64_t>(this->revisions.heard().era)},
+                        {"heard_revision", static_cast<std::int64_t>(this->revisions.heard().revision)}});
         this->watchBehind = true;
         this->watching = false;
         this->client.abortWatch();
@@ -97,11 +101,11 @@
     const ScopeGuard finished([this] {
         this->probing = false;
     });
-    const auto revision = co_await this->client.probe();
-    if (revision.ok()) {
-        this->revisions.onHeard(*revision, NodeClock::now());
+    const auto position = co_await this->client.probe();
+    if (position.ok()) {
+        this->revisions.onHeard(*position, NodeClock::now());
     }
-    co_return revision.status();
+    co_return position.status();
 }
 
 asio::awaitable<bool> RegistryFollower::readAll()
@@ -117,6 +121,15 @@
         co_return false;
     }
     this->onCallSucceeded();
+    // The registry came back from a copy between the two reads, or a late reply is of a history that was replaced.
+    if (config->position.era != entries->position.era || entries->position.era < this->revisions.heard().era) {
+        this->log.warn("registry read in two eras",
+                       {{"entries_era", static_cast<std::int64_t>(entries->position.era)},
+                        {"config_era", static_cast<std::int64_t>(config->position.era)},
+                        {"heard_era", static_cast<std::int64_t>(this->revisions.heard().era)}});
+        co_return false;
+    }
+    this->onEraChanged(entries->position);
     this->applyChanges(*config);
     this->applyChanges(*entries);
     std::vector<std::string> listedIds;
@@ -126,14 +139,15 @@
         }
     }
     std::ranges::sort(listedIds);
+    this->view.dropReturned(listedIds);
     for (const auto &[id, entry] : this->view.entries()) {
         if (!std::ranges::binary_search(listedIds, id)) {
-            this->recordRemoval(id, entries->revision);
+            this->recordRemoval(id, entries->position);
         }
     }
     this->applyHeldRemovals(NodeClock::now());
-    this->revision = entries->revision;
-    this->revisions.onReadAll(this->revision);
+    this->position = entries->position;
+    this->revisions.onReadAll(this->position);
     this->synchronized = true;
     co_return true;
 }
@@ -144,23 +158,21 @@
     this->watching = true;
     this->watchBehind = false;
     this->watchStarted = now;
-    const auto read = co_await this->client.watch(this->revision, this->nextWatchWait(now));
+    const auto read = co_await this->client.watch(this->position, this->nextWatchWait(now));
     this->watching = false;
     if (!read.ok()) {
         this->onCallFailed(read.status(), true);
         // Changes since this revision may no longer be in the registry's history, and a new watch would not reveal that.
-        this->revision = 0;
+        this->position.revision = 0;
         co_return false;
     }
     this->onCallSucceeded();
     if (read->historyLost) {
-        this->log.warn("registry history lost", {{"revision", static_cast<std::int64_t>(this->revision)}});
-        this->revision = 0;
-        co_return true;
+        co_return this->onHistoryLost(read->position);
     }
     this->applyChanges(*read);
-    this->revision = std::max(this->revision, read->revision);
-    this->revisions.onApplied(this->revision);
+    this->position = std::max(this->position, read->position);
+    this->revisions.onApplied(this->position);
     if (!read->changes.empty()) {
         // Waiting changes are returned at once. A longer call means that there was no change when the watch started.
         const bool waited = NodeClock::now() - now > this->settings.batchPause;
@@ -170,6 +182,30 @@
     co_return true;
 }
 
+bool RegistryFollower::onHistoryLost(const RegistryPosition &read)
+{
+    this->log.warn("registry history lost",
+                   {{"era", static_cast<std::int64_t>(this->position.era)},
+                    {"revision", static_cast<std::int64_t>(this->position.revision)},
+                    {"reply_era", static_cast<std::int64_t>(read.era)}});
+    this->position.revision = 0;
+    return true;
+}
+
+void RegistryFollower::onEraChanged(const RegistryPosition &read)
+{
+    if (!this->synchronized || read.era == this->revisions.applied().era) {
+        return;
+    }
+    this->log.warn("registry came back from a copy",
+                   {{"era", static_cast<std::int64_t>(read.era)},
+                    {"revision", static_cast<std::int64_t>(read.revision)},
+                    {"previous_era", static_cast<std::int64_t>(this->revisions.applied().era)},
+                    {"previous_revision", static_cast<std::int64_t>(this->revisions.applied().revision)}});
+    // Entries that the copy does not have yet are written again, as after an outage.
+    this->holdRemovalsUntil = NodeClock::now() + this->settings.removalHoldTime;
+}
+
 namespace {
 
 /// Visitor that applies one registry change to a view.
@@ -196,10 +232,11 @@
     void operator()(const Platform::ItemInvalid &invalid) const
     {
         if (!invalid.upstreamId.empty()) {
-            this->onRemoved({invalid.upstreamId, invalid.revision});
+            this->onRemoved({invalid.upstreamId, invalid.position});
         }
-        this->log.warn("registry item ignored",
-                       {{"key", invalid.key}, {"revision", static_cast<std::int64_t>(invalid.revision)}, {"reason", invalid.reason}});
+        this->log.warn(
+            "registry item ignored",
+            {{"key", invalid.key}, {"revision", static_cast<std::int64_t>(invalid.position.revision)}, {"reason", invalid.reason}});
     }
 };
 
@@ -212,7 +249,7 @@
                                     this->heldRemovals.erase(entry.id);
                                 },
                                 [this](const Platform::EntryRemoved &removed) {
-                                    this->recordRemoval(removed.id, removed.revision);
+                                    this->recordRemoval(removed.id, removed.position);
                                 },
                                 this->log};
     for (const Platform::RegistryChange &change : read.changes) {
@@ -221,14 +258,15 @@
     this->applyHeldRemovals(NodeClock::now());
 }
 
-void RegistryFollower::recordRemoval(std::string_view id, std::uint64_t revision)
+void RegistryFollower::recordRemoval(std::string_view id, const RegistryPosition &position)
 {
     // A later outage does not extend the deferral: the entry has been missing since before.
-    const bool isNew = this->heldRemovals.try_emplace(std::string(id), HeldRemoval{revision, this->holdRemovalsUntil}).second;
+    const bool isNew = this->heldRemovals.try_emplace(std::string(id), HeldRemoval{position, this->holdRemovalsUntil}).second;
     const Duration wait = this->holdRemovalsUntil - NodeClock::now();
     if (isNew && wait > Duration::zero() && this->view.find(id) != nullptr) {
-        this->log.info("removal deferred",
-                       {{"upstream", id}, {"revision", static_cast<std::int64_t>(revision)}, {"wait_ms", toMilliseconds(TimePoint(wait))}});
+        this->log.info(
+            "removal deferred",
+            {{"upstream", id}, {"revision", static_cast<std::int64_t>(position.revision)}, {"wait_ms", toMilliseconds(TimePoint(wait))}});
     }
 }
 
@@ -239,7 +277,7 @@
         if (removal.due > now) {
             return false;
         }
-        this->view.removeEntry(id, removal.revision);
+        this->view.removeEntry(id, removal.position);
         return true;
     });
 }
@@ -264,7 +302,7 @@
     if (this->contact || this->consecutiveFailures == 0) {
         this->log.warn("registry lost",
                        {{"reason", messageOf(error)},
-                        {"revision", static_cast<std::int64_t>(this->revision)},
+                        {"revision", static_cast<std::int64_t>(this->position.revision)},
                         {"outage", this->outage ? "yes" : "no"},
                         {"last_reply_ms", toMilliseconds(TimePoint(NodeClock::now() - this->lastReply))}});
     }
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -59,13 +59,18 @@
     /// @return when the registry is to be probed next while a watch is open
     TimePoint nextProbe() const;
     boost::asio::awaitable<bool> readAll();
+    /// Handles a watch that can't continue from the position of the view.
+    /// @return whether all is read again at once
+    bool onHistoryLost(const RegistryPosition &read);
+    /// Handles a complete read of another era than the last one.
+    void onEraChanged(const RegistryPosition &read);
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> pause(Duration time);
     boost::asio::awaitable<void> backOff();
     void applyChanges(const Platform::RegistryRead &read);
     void applyHeldRemovals(TimePoint now);
     /// Records a removal, to be applied with the changes of the same reply or, after an outage, later.
-    void recordRemoval(std::string_view id, std::uint64_t revision);
+    void recordRemoval(std::string_view id, const RegistryPosition &position);
     /// @return longest time that the next watch may be held, so that deferred removals are applied when they are due
     Duration nextWatchWait(TimePoint now) const;
     /// @param isWatch whether the failed call is a watch
@@ -75,7 +80,7 @@
     /// Removal of an upstream that has been read from the registry, but not applied to the view yet.
     struct HeldRemoval
     {
-        std::uint64_t revision = 0; ///< Registry revision of the removal.
+        RegistryPosition position; ///< Position of the removal in the registry's history.
         TimePoint due; ///< When it is applied, unless the entry has been written again.
     };
 
@@ -86,7 +91,7 @@
     std::mt19937_64 random;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer probeTimer;
-    std::uint64_t revision = 0; ///< Registry revision up to which the view is current; 0 requires a complete read.
+    RegistryPosition position; ///< Position up to which the view is current; revision 0 requires a complete read.
     bool synchronized = false;
     bool contact = false;
     bool watching = false; ///< Whether a watch is in progress.
--- a/galenarack/fleet/upstreamentry.h
+++ b/galenarack/fleet/upstreamentry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/fleet/registryposition.h>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -20,7 +21,8 @@
     bool draining = false; ///< Whether the upstream is shutting down and must get no new requests.
     Duration coldRemaining{}; ///< Time after the entry was written during which the upstream is still slow from its cold start.
     std::int64_t startTimeMs = 0; ///< Unix time of the upstream's start, in ms; differs after a restart under the same id.
-    std::uint64_t revision = 0; ///< Registry revision of the write; orders all entries.
+    std::int64_t sequence = 0; ///< Number of the write, counted by the upstream from its start.
+    RegistryPosition position; ///< Position of the write in the registry's history; orders the entries of one era.
 };
 
 /// Record of an upstream that has said in a response that it is shutting down.
--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -87,7 +87,7 @@
         if (const UpstreamView *known = this->find(entry.id); known != nullptr && known->entry.startTimeMs == entry.startTimeMs) {
             view = *known;
         }
-        if (view.entry.revision != entry.revision) {
+        if (view.entry.position != entry.position) {
             view.coldUntil = now + entry.coldRemaining;
         }
         view.entry = entry;
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -148,7 +148,7 @@
     report.load = this->load(offer.failureDomain, NodeClock::now());
     report.retryAfter = retryAfter;
     report.leaving = this->view.leavingMark(offer.upstream);
-    report.registryRevision = this->revisions.applied();
+    report.registryPosition = this->revisions.applied();
     report.appendTo(response.headers);
     return response;
 }
@@ -253,7 +253,7 @@
         response.status = errorRow(ErrorKind::InvalidRequest).httpStatus;
         co_return response;
     }
-    this->revisions.onHeard(offer->registryRevision, arrival);
+    this->revisions.onHeard(offer->registryPosition, arrival);
     Duration retryAfter{};
     const OfferOutcome admission = this->admit(*offer, arrival, retryAfter);
     if (admission != OfferOutcome::Answered) {
@@ -429,7 +429,7 @@
     report.load = this->load(offer.failureDomain, now);
     report.runDuration = now - started;
     report.leaving = this->view.leavingMark(offer.upstream);
-    report.registryRevision = this->revisions.applied();
+    report.registryPosition = this->revisions.applied();
     report.appendTo(answer.headers);
     co_return answer;
 }
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -100,11 +100,20 @@
 constexpr std::int64_t allowTrialFlag = 8;
 constexpr std::int64_t repeatFlag = 16;
 
-/// @return revision of the sender; 0 when the field is missing or malformed, as from nodes of an earlier release
-std::uint64_t readRevision(const HeaderList &headers)
+/// Appends a position as "revision", or "revision era" once the registry names eras.
+void appendPosition(HeaderList &headers, const RegistryPosition &position)
 {
-    std::uint64_t revision = 0;
-    return absl::SimpleAtoi(toAbsl(headers.find(revisionField).value_or("")), &revision) ? revision : 0;
+    headers.add(revisionField, position.era == 0 ? absl::StrCat(position.revision) : absl::StrCat(position.revision, " ", position.era));
+}
+
+/// @return position of the sender; revision 0 when the field is missing or malformed, as from nodes of an earlier release
+RegistryPosition readPosition(const HeaderList &headers)
+{
+    const std::vector<absl::string_view> parts = absl::StrSplit(toAbsl(headers.find(revisionField).value_or("")), ' ');
+    RegistryPosition position;
+    const bool isValid = absl::SimpleAtoi(parts.front(), &position.revision)
+                         && (parts.size() == 1 || (parts.size() == 2 && absl::SimpleAtoi(parts.back(), &position.era)));
+    return isValid ? position : RegistryPosition();
 }
 
 /// Appends a limit in requests per 1000 s, and the time until it has room in milliseconds.
@@ -158,7 +167,7 @@
         headers.add(routeField, this->route);
     }
     headers.add(originField, absl::StrCat(this->callerService, " ", this->failureDomain));
-    headers.add(revisionField, absl::StrCat(this->registryRevision));
+    appendPosition(headers, this->registryPosition);
     appendLimit(headers, this->knownLimit, Duration::zero());
 }
 
@@ -182,7 +191,7 @@
     offer.route = headers.find(routeField).value_or("");
     offer.callerService = originReader.text();
     offer.failureDomain = originReader.text();
-    offer.registryRevision = readRevision(headers);
+    offer.registryPosition = readPosition(headers);
     Duration unused{};
     offer.knownLimit = readLimit(headers, unused);
     if (!offerReader.isValid() || !originReader.isValid()) {
@@ -212,7 +221,7 @@
                              toMs(this->runDuration),
                              " ",
                              toMs(this->retryAfter)));
-    headers.add(revisionField, absl::StrCat(this->registryRevision));
+    appendPosition(headers, this->registryPosition);
     appendLimit(headers, this->load.limit, this->load.limitWait);
     if (this->leaving) {
         headers.add(leavingField, absl::StrCat(this->leaving->startTimeMs, " ", this->leaving->sentMs));
@@ -237,7 +246,7 @@
         return std::nullopt;
     }
     report.outcome = static_cast<OfferOutcome>(outcome);
-    report.registryRevision = readRevision(headers);
+    report.registryPosition = readPosition(headers);
     report.load.limit = readLimit(headers, report.load.limitWait);
     PartReader leavingReader(headers.find(leavingField).value_or(""), leavingParts);
     const LeavingMark mark{leavingReader.number(), leavingReader.number()};
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -32,7 +32,7 @@
     Duration maxQueueWait{}; ///< Longest wait for a slot; the home declines the offer if it expects a longer one.
     std::string callerService; ///< Service of the VM that the request comes from.
     std::string failureDomain; ///< Failure domain of the ingress.
-    std::uint64_t registryRevision = 0; ///< Registry revision that the ingress has applied; 0 if unknown.
+    RegistryPosition registryPosition; ///< Registry position that the ingress has applied; revision 0 if unknown.
     std::optional<double> knownLimit; ///< Limit of the upstream, as last reported to the ingress; tells a home that has just started.
 
     /// Appends the offer to the header fields of a message.
@@ -69,7 +69,7 @@
     Duration runDuration{}; ///< Time that the upstream took for the request; zero if it was not run.
     Duration retryAfter{}; ///< Expected time until the home would accept such a request; zero if unknown.
     std::optional<LeavingMark> leaving; ///< Set once the upstream has said in a response that it is shutting down.
-    std::uint64_t registryRevision = 0; ///< Registry revision that the home has applied; 0 if unknown.
+    RegistryPosition registryPosition; ///< Registry position that the home has applied; revision 0 if unknown.
 
     /// Appends the report to the header fields of a message.
     void appendTo(HeaderList &headers) const;
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -155,6 +155,9 @@
         }
         const TimePoint now = NodeClock::now();
         this->follower.tick(now);
+        if (this->follower.isCurrent()) {
+            this->view.tick(now);
+        }
         this->links.tick(now);
         this->home.tick(now);
         this->callers.tick(now);
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -455,7 +455,7 @@
     offer.maxQueueWait = target.maxQueueWait;
     offer.callerService = this->settings.service;
     offer.failureDomain = this->settings.failureDomain;
-    offer.registryRevision = this->revisions.applied();
+    offer.registryPosition = this->revisions.applied();
     offer.knownLimit = target.upstream->load.limit;
     PeerRequest request;
     request.method = context.request.method;
@@ -518,7 +518,7 @@
         --upstream->outstanding;
     }
     if (attempt.report) {
-        this->revisions.onHeard(attempt.report->registryRevision, now);
+        this->revisions.onHeard(attempt.report->registryPosition, now);
         this->placement.report(attempt.upstream, attempt.report->load, now);
         if (attempt.report->leaving) {
             this->view.markLeaving(attempt.upstream, *attempt.report->leaving);
--- a/unittests/offertest.cpp
+++ b/unittests/offertest.cpp
@@ -24,7 +24,7 @@
     offer.maxQueueWait = 80ms;
     offer.callerService = "reports";
     offer.failureDomain = "a";
-    offer.registryRevision = 9'000'000'000;
+    offer.registryPosition = {3, 9'000'000'000};
     offer.knownLimit = 2.5;
     return offer;
 }
@@ -57,17 +57,19 @@
         CPPUNIT_ASSERT(offer->expected == Duration(320ms) && offer->maxQueueWait == Duration(80ms));
         CPPUNIT_ASSERT_EQUAL(std::string("reports"), offer->callerService);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), offer->failureDomain);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'000'000'000}, offer->registryRevision);
+        CPPUNIT_ASSERT(offer->registryPosition == RegistryPosition({3, 9'000'000'000}));
         CPPUNIT_ASSERT(offer->knownLimit == 2.5);
 
         Offer plain = sample();
         plain.knownLimit.reset();
+        plain.registryPosition = {0, 7};
         plain.idempotent = plain.allowTrial = plain.isRepeat = plain.allowUnhealthy = false;
         HeaderList plainHeaders;
         plain.appendTo(plainHeaders);
         const auto read = Offer::fromHeaders(plainHeaders);
         CPPUNIT_ASSERT(read.ok() && !read->idempotent && !read->allowTrial && !read->isRepeat && !read->allowUnhealthy);
         CPPUNIT_ASSERT(!read->knownLimit);
+        CPPUNIT_ASSERT(read->registryPosition == RegistryPosition({0, 7}));
     }
 
     /// Guards against a request that no home accepts, or whose response is taken for that of another one, because its id has odd
--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -19,7 +19,7 @@
     entry.service = "reports";
     entry.failureDomain = std::move(failureDomain);
     entry.slots = 3;
-    entry.revision = 1;
+    entry.position = {1, 1};
     return entry;
 }
 
@@ -199,7 +199,7 @@
         placement.reportEjected("u1", 10s, start);
         CPPUNIT_ASSERT(placement.choose(requestOf(true), {}, start) == nullptr);
         entries[0].startTimeMs = 99;
-        entries[0].revision = 2;
+        entries[0].position = {1, 2};
         placement.setEntries(entries, start);
         CPPUNIT_ASSERT(placement.choose(requestOf(true), {}, start) != nullptr);
     }
--- a/unittests/platformdecodetest.cpp
+++ b/unittests/platformdecodetest.cpp
@@ -82,7 +82,7 @@
     /// Guards against a field that is decoded into the wrong member.
     void decodesEntry()
     {
-        const auto entry = Platform::decodeEntry("i-1", validEntry().dump(), 42);
+        const auto entry = Platform::decodeEntry("i-1", validEntry().dump(), {1, 42});
         CPPUNIT_ASSERT(entry.ok());
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), entry->id);
         CPPUNIT_ASSERT_EQUAL(std::string("reports"), entry->service);
@@ -93,7 +93,7 @@
         CPPUNIT_ASSERT(!entry->draining);
         CPPUNIT_ASSERT(Duration(std::chrono::milliseconds(1200)) == entry->coldRemaining);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1'700'000'000'123), entry->startTimeMs);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(42), entry->revision);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(42), entry->position.revision);
     }
 
     /// Guards against a malformed entry that registers an upstream which does not exist.
@@ -221,11 +221,11 @@
         for (const EntryCase &row : cases) {
             Json entry = validEntry();
             row.change(entry);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, Platform::decodeEntry("i-1", entry.dump(), 1).ok());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, Platform::decodeEntry("i-1", entry.dump(), {1, 1}).ok());
         }
-        CPPUNIT_ASSERT(!Platform::decodeEntry("i-1", "\xff\x00{", 1).ok());
+        CPPUNIT_ASSERT(!Platform::decodeEntry("i-1", "\xff\x00{", {1, 1}).ok());
         for (const char *id : {"", "i 1", "i\n1", "i\r\nx: 1", "\xc3\xbc"}) {
-            CPPUNIT_ASSERT_MESSAGE(id, !Platform::decodeEntry(id, validEntry().dump(), 1).ok());
+            CPPUNIT_ASSERT_MESSAGE(id, !Platform::decodeEntry(id, validEntry().dump(), {1, 1}).ok());
         }
     }
 
@@ -247,13 +247,13 @@
             {"zero bytes", std::string(1000, '\0')},
         };
         for (const auto &row : table) {
-            CPPUNIT_ASSERT_MESSAGE(row.name, !Platform::decodeEntry("i-1", row.value, 1).ok());
+            CPPUNIT_ASSERT_MESSAGE(row.name, !Platform::decodeEntry("i-1", row.value, {1, 1}).ok());
             CPPUNIT_ASSERT_MESSAGE(row.name, !Platform::decodeConfig(row.value).ok());
         }
         // Brackets in text are no nesting.
         Json entry = validEntry();
         entry["extra"] = std::string(100, '[') + "\"" + std::string(100, '{');
-        CPPUNIT_ASSERT(Platform::decodeEntry("i-1", entry.dump(), 1).ok());
+        CPPUNIT_ASSERT(Platform::decodeEntry("i-1", entry.dump(), {1, 1}).ok());
     }
 
     /// Guards against routes whose matching or weights differ from the operators' configuration.
--- a/unittests/revisiontrackertest.cpp
+++ b/unittests/revisiontrackertest.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(RevisionTrackerTest);
     CPPUNIT_TEST(isBehindSinceTheFirstUnappliedRevision);
+    CPPUNIT_TEST(revisionsAreComparedWithinTheirEra);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -19,24 +20,42 @@
         const TimePoint start{100s};
         RevisionTracker tracker;
         CPPUNIT_ASSERT(!tracker.isBehind());
-        tracker.onApplied(7);
-        tracker.onHeard(6, start);
-        tracker.onHeard(7, start);
+        tracker.onApplied({1, 7});
+        tracker.onHeard({1, 6}, start);
+        tracker.onHeard({1, 7}, start);
         CPPUNIT_ASSERT(!tracker.isBehind());
-        tracker.onHeard(8, start + 1s);
-        tracker.onHeard(9, start + 2s);
+        tracker.onHeard({1, 8}, start + 1s);
+        tracker.onHeard({1, 9}, start + 2s);
         CPPUNIT_ASSERT(tracker.isBehind());
         CPPUNIT_ASSERT(tracker.since() == start + 1s);
-        tracker.onApplied(8);
+        tracker.onApplied({1, 8});
         CPPUNIT_ASSERT(tracker.isBehind());
-        tracker.onApplied(9);
+        tracker.onApplied({1, 9});
         CPPUNIT_ASSERT(!tracker.isBehind());
-        tracker.onHeard(10, start + 5s);
+        tracker.onHeard({1, 10}, start + 5s);
         CPPUNIT_ASSERT(tracker.since() == start + 5s);
-        tracker.onHeard(1000, start + 6s);
-        tracker.onReadAll(10);
+        tracker.onHeard({1, 1000}, start + 6s);
+        tracker.onReadAll({1, 10});
         CPPUNIT_ASSERT(!tracker.isBehind());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, tracker.applied());
+        CPPUNIT_ASSERT(tracker.applied() == RegistryPosition({1, 10}));
+    }
+
+    /// Guards against a node that takes itself for current, or for behind, by revisions of a history that was replaced.
+    void revisionsAreComparedWithinTheirEra()
+    {
+        const TimePoint start{100s};
+        RevisionTracker tracker;
+        tracker.onApplied({1, 120});
+        tracker.onHeard({2, 95}, start);
+        CPPUNIT_ASSERT(tracker.isBehind());
+        tracker.onReadAll({1, 125});
+        CPPUNIT_ASSERT_MESSAGE("a read of the old era", tracker.isBehind());
+        tracker.onReadAll({2, 95});
+        CPPUNIT_ASSERT(!tracker.isBehind());
+        tracker.onHeard({1, 130}, start);
+        CPPUNIT_ASSERT_MESSAGE("a node of the old era", !tracker.isBehind());
+        tracker.onApplied({1, 131});
+        CPPUNIT_ASSERT(tracker.applied() == RegistryPosition({2, 95}));
     }
 };
 
--- a/unittests/trafficconfigtest.cpp
+++ b/unittests/trafficconfigtest.cpp
@@ -21,7 +21,7 @@
     UpstreamEntry entry;
     entry.id = std::move(id);
     entry.address = {boost::asio::ip::make_address(vm), 80};
-    entry.revision = revision;
+    entry.position = {1, revision};
     return entry;
 }
 
@@ -115,9 +115,9 @@
 
         CPPUNIT_ASSERT(view.applyEntry(makeEntry("a", "10.0.0.1", 5), TimePoint()));
         CPPUNIT_ASSERT(!view.applyEntry(makeEntry("a", "10.0.0.2", 4), TimePoint()));
-        view.removeEntry("a", 4);
+        view.removeEntry("a", {1, 4});
         CPPUNIT_ASSERT(view.find("a") != nullptr);
-        view.removeEntry("a", 9);
+        view.removeEntry("a", {1, 9});
         CPPUNIT_ASSERT(view.find("a") == nullptr);
         CPPUNIT_ASSERT(!view.applyEntry(makeEntry("a", "10.0.0.1", 8), TimePoint()));
         CPPUNIT_ASSERT(view.applyEntry(makeEntry("a", "10.0.0.1", 10), TimePoint()));
