Pace complete reads while the registry has no history

Four nodes made 72,927 calls in 4 s to a registry that answered each watch 410: a node read all again at once, watched, and so on. Cause: the loop took a lost history for progress. Now the second one in a row is followed by the back-off of failed calls; the first, as after a restore, is still read at once.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -170,6 +170,7 @@
     if (read->historyLost) {
         co_return this->onHistoryLost(read->position);
     }
+    this->lostHistories = 0;
     this->applyChanges(*read);
     this->position = std::max(this->position, read->position);
     this->revisions.onApplied(this->position);
@@ -189,7 +190,9 @@
                     {"revision", static_cast<std::int64_t>(this->position.revision)},
                     {"reply_era", static_cast<std::int64_t>(read.era)}});
     this->position.revision = 0;
-    return true;
+    ++this->lostHistories;
+    // A registry that answers every watch so must not be read without a pause.
+    return this->lostHistories == 1;
 }
 
 void RegistryFollower::onEraChanged(const RegistryPosition &read)
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -101,6 +101,7 @@
     bool outage = false; ///< Whether the registry has been unavailable since the last successful call.
     TimePoint lastReply; ///< Time of the last successful call.
     unsigned consecutiveFailures = 0;
+    unsigned lostHistories = 0; ///< Consecutive watches whose changes were no longer in the history.
     unsigned busyWatchCount = 0; ///< Consecutive watches that found changes waiting.
     TimePoint holdRemovalsUntil; ///< Removals that are read before this time are deferred until then.
     std::map<std::string, HeldRemoval, std::less<>> heldRemovals; ///< Deferred removals by upstream.
