--- a/galenarack/fleet/registryposition.h
+++ b/galenarack/fleet/registryposition.h
@@ -14,7 +14,11 @@
     std::uint64_t era = 0; ///< Number of the history; 0 while the registry names none.
     std::uint64_t revision = 0; ///< Revision within that history; 0 before the first read.
 
-    auto operator<=>(const RegistryPosition &) const = default;
+    bool operator==(const RegistryPosition &) const = default;
+    std::strong_ordering operator<=>(const RegistryPosition &other) const
+    {
+        return this->era != other.era ? this->era <=> other.era : this->revision <=> other.revision;
+    }
 };
 
 } // namespace Galenarack
--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -157,10 +157,7 @@
     return best;
 }
 
-bool Placement::isEligible(const UpstreamView &view,
-                           const PlacementRequest &request,
-                           std::span<const std::string> excluded,
-                           TimePoint now)
+bool Placement::isEligible(const UpstreamView &view, const PlacementRequest &request, std::span<const std::string> excluded, TimePoint now)
 {
     return view.entry.service == request.service && !view.entry.draining && now >= view.unreachableUntil
            && std::ranges::find(excluded, view.entry.id) == excluded.end();
--- a/processtests/noticetest.cpp
+++ b/processtests/noticetest.cpp
@@ -250,6 +250,7 @@
         });
         fleet.fleet.runFor(4s);
         std::vector<std::size_t> before;
+        before.reserve(upstreams.size());
         for (const unsigned upstream : upstreams) {
             before.push_back(fleet.arrivals(upstream));
         }
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -88,6 +88,7 @@
     this->historyStart = std::min(this->historyStart, this->revision);
     ++this->era;
     std::vector<LostWrite> list;
+    list.reserve(lost.size());
     for (auto &[key, write] : lost) {
         list.push_back(std::move(write));
     }
