Test that notices are read from the header of the response alone

Also when the body breaks off, is reset or never ends, and not from interim responses, responses to other requests or without an id.

--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -198,6 +198,7 @@
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
+    CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -225,6 +226,59 @@
         }
     }
 
+    /// Guards against a notice of the upstream that is lost because the rest of the response is, and against one that is taken from
+    /// another response.
+    void noticesAreReadFromTheHeaderOfTheResponse()
+    {
+        const std::string echo = "galenarack-request-id: " + std::string(requestId) + "\r\n";
+        const std::string otherEcho = "galenarack-request-id: 00000000000000010000000000000001\r\n";
+        const std::string notice = "X-Notice: 2\r\n";
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const struct
+        {
+            const char *name;
+            Script script;
+            std::vector<std::string> notices; ///< Expected values of the field.
+            bool isCalled;
+        } table[] = {
+            {"complete", {ok + echo + notice + "Content-Length: 2\r\n\r\nok"}, {"2"}, true},
+            {"none", {ok + echo + "Content-Length: 2\r\n\r\nok"}, {}, true},
+            {"twice", {ok + echo + notice + "X-Notice: 3\r\nContent-Length: 2\r\n\r\nok"}, {"2", "3"}, true},
+            {"rejection", {"HTTP/1.1 503 Busy\r\n" + echo + notice + "Content-Length: 0\r\n\r\n"}, {"2"}, true},
+            {"body breaks off", {ok + echo + notice + "Content-Length: 20\r\n\r\nok", After::Close}, {"2"}, true},
+            {"body is reset", {ok + echo + notice + "Content-Length: 20\r\n\r\nok", After::Reset}, {"2"}, true},
+            {"body without end", {ok + echo + notice + "\r\n", After::Endless, std::string(600, 'x')}, {"2"}, true},
+            {"interim response first",
+             {"HTTP/1.1 103 Early Hints\r\n" + notice + "\r\n" + ok + echo + "Content-Length: 2\r\n\r\nok"},
+             {},
+             true},
+            {"header breaks off", {ok + echo + notice + "Content-Le", After::Close}, {}, false},
+            {"response to another request", {ok + otherEcho + notice + "Content-Length: 2\r\n\r\nok", After::Close}, {}, false},
+            {"no id", {ok + notice + "Content-Length: 2\r\n\r\nok"}, {}, false},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, row.script);
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            limits.noticeFields = {"x-notice"};
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const PeerRequest request{"GET", "/records/1", {}, ""};
+            std::vector<std::string> seen;
+            int calls = 0;
+            UpstreamCall call;
+            call.onHeader = [&](unsigned, const HeaderList &notices) {
+                ++calls;
+                for (const HeaderField &field : notices.all()) {
+                    seen.push_back(field.value);
+                }
+            };
+            static_cast<void>(runTask(context, pool.request(request, requestId, NodeClock::now() + 1s, call)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isCalled ? 1 : 0, calls);
+            CPPUNIT_ASSERT_MESSAGE(row.name, seen == row.notices);
+        }
+    }
+
     /// Guards against a refused connection being reported as a request that may have run, which would rule out a retry.
     void refusedConnectionIsReportedAsNotRun()
     {
