Tell of a leaving upstream also while it is not registered

A home whose view lost the entry of its upstream during a run passed the answer with Server-Leaving on without the mark. The ingress would have used the upstream again once the entry came back (DRAIN). Found by reading; the assertion in leavingHoldsUntilTheNextStart failed before.

--- a/galenarack/fleet/fleetview.cpp
+++ b/galenarack/fleet/fleetview.cpp
@@ -159,11 +159,12 @@
 
 std::optional<LeavingMark> FleetView::leavingMark(std::string_view id) const
 {
+    const auto mark = this->leavingMarks.find(id);
     const UpstreamEntry *entry = this->find(id);
-    if (entry == nullptr || !this->isMarkedLeaving(*entry)) {
+    if (mark == this->leavingMarks.end() || (entry != nullptr && !this->isMarkedLeaving(*entry))) {
         return std::nullopt;
     }
-    return this->leavingMarks.find(id)->second;
+    return mark->second;
 }
 
 bool FleetView::isMarkedLeaving(const UpstreamEntry &entry) const
--- a/galenarack/fleet/fleetview.h
+++ b/galenarack/fleet/fleetview.h
@@ -49,7 +49,7 @@
     /// registry says, until it names a later start.
     void markLeaving(std::string_view id, const LeavingMark &mark);
 
-    /// @return the mark of the upstream, or nothing when it does not hold for its entry
+    /// @return the mark of the upstream, also while it is not registered; nothing when it has started again since
     std::optional<LeavingMark> leavingMark(std::string_view id) const;
 
     /// @return the configuration in force, or null before the first one is applied
--- a/unittests/fleetviewtest.cpp
+++ b/unittests/fleetviewtest.cpp
@@ -144,6 +144,7 @@
                 }
                 view.markLeaving("i-1", row.mark);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, isListed, isListed && view.find("i-1")->draining);
+                CPPUNIT_ASSERT_MESSAGE(row.name, view.leavingMark("i-1").has_value());
                 CPPUNIT_ASSERT_MESSAGE(row.name, view.applyEntry(entryOf(3, row.startTimeMs), NodeClock::now()));
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.draining, view.find("i-1")->draining);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.draining, view.leavingMark("i-1").has_value());
