Heed a health check only from the upstream that it was meant for

The health check of a limited upstream goes to its address, which another upstream may have by now. Now the check requires the upstream's id, and an answer with another Instance-Id counts for nothing. healthCheckOfAnotherUpstreamEndsNoLimit failed before and passes.

--- a/galenarack/proxy/dialect.h
+++ b/galenarack/proxy/dialect.h
@@ -11,6 +11,7 @@
     std::string remainingMs; ///< Time for which the sender waits for the response, in milliseconds.
     std::string upstreamSignature; ///< Present on every response of an upstream.
     std::string requiredUpstream; ///< Id of the upstream that the request is for; an upstream with another id rejects it.
+    std::string upstreamId; ///< Id of the upstream, on its responses to health checks.
     std::string notRun; ///< Present on a response of an upstream that has not run the request.
     std::string requestLimit; ///< Requests per second that the upstream of a response takes from all nodes together.
     std::string leaving; ///< "1" on each response of an upstream that is shutting down.
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -94,7 +94,7 @@
     limits.totalBytes = responseBytes;
     limits.requestIdField = dialect.requestId;
     limits.alwaysEchoesId = true;
-    limits.noticeFields = {dialect.requestLimit, dialect.leaving};
+    limits.noticeFields = {dialect.requestLimit, dialect.leaving, dialect.upstreamId};
     return limits;
 }
 
@@ -517,8 +517,8 @@
 {
     const LeavingMark mark{this->observedStartMs, unixMilliseconds()};
     call.onHeader = [this, mark, upstream = std::move(upstream)](unsigned status, const HeaderList &notices) {
-        // A misdirected request was answered by another upstream at the same address.
-        if (status == misdirected) {
+        // Another upstream may have the address by now. It rejects requests as misdirected, and names itself in health checks.
+        if (status == misdirected || notices.find(this->dialect.upstreamId).value_or(upstream) != upstream) {
             return;
         }
         const UpstreamNotice notice = UpstreamNotice::fromHeaders(notices, this->dialect);
@@ -555,6 +555,7 @@
     PeerRequest request;
     request.method = "GET";
     request.path = std::move(path);
+    request.headers.add(this->dialect.requiredUpstream, upstream);
     UpstreamCall call;
     this->listenForNotices(call, std::move(upstream));
     const auto response = co_await this->pool.request(request, "", NodeClock::now() + healthCheckTimeout, call);
--- a/processtests/noticetest.cpp
+++ b/processtests/noticetest.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(limitedUpstreamGetsNoMoreThanItTakes);
     CPPUNIT_TEST(malformedLimitIsNoLimit);
     CPPUNIT_TEST(endedLimitIsNoticed);
+    CPPUNIT_TEST(healthCheckOfAnotherUpstreamEndsNoLimit);
     CPPUNIT_TEST(rejectsAtOnceWhenNoLimitHasRoom);
     CPPUNIT_TEST(leavingUpstreamGetsNoNewRequests);
     CPPUNIT_TEST(upstreamThatStartsAgainIsUsed);
@@ -264,6 +265,23 @@
         CPPUNIT_ASSERT_MESSAGE(violations, violations.empty());
     }
 
+    /// Guards against a limit that is taken for ended because another upstream has answered at the address.
+    void healthCheckOfAnotherUpstreamEndsNoLimit()
+    {
+        NoticeFleet fleet;
+        const unsigned limited = fleet.fleet.backNodes().front();
+        PlatformUpstream &upstream = *fleet.fleet.upstreams[limited];
+        upstream.behaviour.limits = {"0"};
+        upstream.behaviour.isReplacedInHealthChecks = true;
+        fleet.startCallers(2, 40ms);
+        fleet.fleet.runFor(2s);
+        const std::size_t before = fleet.arrivals(limited);
+        fleet.fleet.runFor(5s);
+        fleet.stopCallers();
+        CPPUNIT_ASSERT(upstream.probeCount > 0);
+        CPPUNIT_ASSERT_EQUAL(before, fleet.arrivals(limited));
+    }
+
     /// Guards against requests that wait until their deadline although no upstream can take them in time, and against a Retry-After
     /// that says nothing of the limits.
     void rejectsAtOnceWhenNoLimitHasRoom()
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -294,6 +294,11 @@
     const std::string requestId(request[requestIdField]);
     if (request.target() == healthPath) {
         ++this->probeCount;
+        if (this->behaviour.isReplacedInHealthChecks) {
+            HttpResponse other = makeResponse(request, 200, "text/plain", "");
+            other.set("Instance-Id", "another-" + this->id);
+            co_return other;
+        }
         HttpResponse response = this->makeAnswer(request, this->behaviour.saysLeaving ? 503 : 200, "");
         response.set("Instance-Id", this->id);
         co_return response;
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -150,6 +150,7 @@
     std::optional<std::size_t> sentBytes{}; ///< Number of bytes of each response that it sends before it closes the connection.
     std::vector<std::string> limits{}; ///< Values of the Server-Limit fields of all its answers.
     bool saysLeaving = false; ///< Whether all its answers say Server-Leaving.
+    bool isReplacedInHealthChecks = false; ///< Whether another upstream, without notices, answers the health checks at its address.
 };
 
 /// In-process stand-in for an upstream that uses the platform's protocol and counts the requests that it runs.
