--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -562,6 +562,19 @@
     return *result;
 }
 
+bool PlatformFleet::isServedWithin(unsigned node, const std::string &prefix, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        const std::string id = prefix + std::to_string(node) + "-" + std::to_string(i);
+        if (this->sendAndWait(node, "GET", prefix + "x", id).status == 200) {
+            return true;
+        }
+        this->runFor(std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
 asio::awaitable<CallResult> PlatformFleet::sendDirectly(
     unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -275,6 +275,10 @@
     /// Like send(), but runs the event loop until the request has ended. The deadline is 3 s.
     CallResult sendAndWait(unsigned node, const std::string &method, const std::string &target, const std::string &id);
 
+    /// Sends requests on a route one after the other.
+    /// @return whether one of them is answered 200 within `limit`
+    bool isServedWithin(unsigned node, const std::string &prefix, std::chrono::milliseconds limit);
+
     /// Like send(), on a new connection to the process of the node itself, without the relay for callers. A connection that the
     /// process has not accepted fails.
     boost::asio::awaitable<CallResult> sendDirectly(
