Read responses of upstreams through a class of their own

UpstreamPool held the parser, the skipping of interim responses and the write that goes on beside the read. Other readers of responses (store, configuration service, galenarackctl) have parsers of their own, so a rule on what is a response would have to be written several times. ResponseReader and RequestWrite now hold this; the behaviour is the same.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -3,16 +3,15 @@
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/scopeguard.h>
 #include <galenarack/core/text.h>
+#include <galenarack/http/requestwrite.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <optional>
 
 namespace Galenarack {
 
@@ -29,16 +28,9 @@
 constexpr std::array<std::string_view, 9> hopByHopFields
     = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
 
-/// Maximum number of responses to skip before the response to a request: interim ones and those to earlier requests.
-/// Upstreams send one or two.
-constexpr unsigned skippedResponseLimit = 8;
-
 /// Number of error responses after which a connection is closed, which bounds the ids that are kept for it.
 constexpr std::size_t failedRequestLimit = 64;
 
-/// Size of the part of a body that is read at once.
-constexpr std::size_t readBytes = 64 * 1024;
-
 bool isHopByHop(std::string_view name)
 {
     return std::ranges::find(hopByHopFields, name) != hopByHopFields.end();
@@ -87,13 +79,6 @@
     return status / 100 == 2;
 }
 
-/// @return whether this is an interim response, which the final one follows (RFC 9110 section 15.2); 101 is not, since it
-///         ends HTTP on the connection
-bool isInterim(unsigned status)
-{
-    return status / 100 == 1 && status != 101;
-}
-
 absl::Status readError(const beast::error_code &error, TimePoint deadline)
 {
     if (NodeClock::now() >= deadline || error == beast::error::timeout) {
@@ -140,20 +125,6 @@
     return error == asio::error::would_block;
 }
 
-/// A request that is being written. Shared with the handler of the write, because the response may arrive before the write
-/// has ended.
-struct PendingWrite
-{
-    explicit PendingWrite(http::request<http::string_body> message)
-        : message(std::move(message))
-    {
-    }
-
-    http::request<http::string_body> message;
-    bool done = false;
-    beast::error_code error;
-};
-
 } // namespace
 
 UpstreamPool::UpstreamPool(asio::any_io_executor executor, asio::ip::tcp::endpoint address, UpstreamLimits limits)
@@ -190,33 +161,28 @@
         stream.close();
     };
 
-    // The upstream may respond before it has read a long body, so the request is written while the response is read.
-    const auto pendingWrite = std::make_shared<PendingWrite>(toBeast(request, this->address));
+    const auto write = std::make_shared<RequestWrite>(this->executor, toBeast(request, this->address));
     stream.expires_after(std::max(deadline - NodeClock::now(), Duration(1)));
-    http::async_write(stream.socket(), pendingWrite->message, [pendingWrite](beast::error_code error, std::size_t) {
-        pendingWrite->done = true;
-        pendingWrite->error = error;
-    });
-    beast::flat_buffer buffer(this->limits.headerBytes + readBytes);
-    std::optional<Reader> reader;
+    write->start(stream.socket());
+    ResponseReader reader(stream, {this->limits.headerBytes, this->limits.bodyBytes}, request.method == "HEAD", write);
     ByteReservation reservation(this->budget, [&stream] {
         stream.close();
     });
-    if (const auto error = co_await this->readResponse(*connection, reservation, buffer, reader, request, requestId, call)) {
+    if (const auto error = co_await this->readResponse(reader, reservation, requestId, call)) {
         co_return reservation.isDropped()
             ? makeError(ErrorKind::UpstreamAnswerTooLarge, "the responses in transit exceed their size limit, and this is the largest")
             : readError(error, deadline);
     }
-    if (absl::Status status = this->checkResponse(*reader, buffer.size(), requestId); !status.ok()) {
+    if (absl::Status status = this->checkResponse(reader, requestId); !status.ok()) {
         co_return status;
     }
-    bool isReusable = reader->keep_alive() && !reader->need_eof() && buffer.size() == 0 && pendingWrite->done && !pendingWrite->error;
-    if (!isSuccess(reader->get().result_int())) {
-        const bool hasEcho = reader->get().count(this->limits.requestIdField) != 0;
+    bool isReusable = reader.isConnectionReusable();
+    if (!isSuccess(reader.message().result_int())) {
+        const bool hasEcho = reader.message().count(this->limits.requestIdField) != 0;
         isReusable = isReusable && hasEcho && connection->failedRequests.size() < failedRequestLimit;
         connection->failedRequests.push_back(hashOf(requestId));
     }
-    http::response<http::string_body> beastResponse = reader->release();
+    http::response<http::string_body> beastResponse = reader.release();
     if (isReusable) {
         const Duration idleLimit = std::min(this->limits.idleTimeout, idleLimitOf(beastResponse));
         this->pushIdle(std::make_unique<Connection>(
@@ -225,75 +191,69 @@
     co_return fromBeast(beastResponse);
 }
 
-asio::awaitable<beast::error_code> UpstreamPool::readResponse(Connection &connection,
+asio::awaitable<beast::error_code> UpstreamPool::readResponse(ResponseReader &reader,
                                                               ByteReservation &reservation,
-                                                              beast::flat_buffer &buffer,
-                                                              std::optional<Reader> &reader,
-                                                              const PeerRequest &request,
                                                               std::string_view requestId,
                                                               const UpstreamCall &call) const
 {
-    for (unsigned skipped = 0; skipped <= skippedResponseLimit; ++skipped) {
-        reader.emplace();
-        reader->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
-        reader->body_limit(this->limits.bodyBytes);
-        reader->skip(request.method == "HEAD");
-        bool isHeaderReported = false;
-        while (!reader->is_done()) {
-            const auto [error, length] = co_await http::async_read_some(connection.stream, buffer, *reader, awaitTuple);
-            reservation.resize(reader->get().body().capacity() + buffer.capacity());
-            if (!isHeaderReported && reader->is_header_done()) {
-                isHeaderReported = true;
-                this->reportHeader(*reader, requestId, call);
-            }
-            if (error) {
-                co_return error;
-            }
-            if (reservation.isDropped()) {
-                co_return http::error::body_limit;
-            }
+    bool isHeaderReported = false;
+    while (!reader.isDone()) {
+        const beast::error_code error = co_await reader.readSome();
+        reservation.resize(reader.heldBytes());
+        if (!isHeaderReported && reader.isHeaderDone()) {
+            isHeaderReported = true;
+            this->reportHeader(reader.message(), requestId, call);
+        }
+        if (error) {
+            co_return error;
         }
-        const bool isStale = this->limits.alwaysEchoesId && !reader->need_eof() && this->echoesOtherId(*reader, requestId);
-        if (!isInterim(reader->get().result_int()) && !isStale) {
-            co_return beast::error_code();
+        if (reservation.isDropped()) {
+            co_return http::error::body_limit;
+        }
+        const bool mayBeStale = this->limits.alwaysEchoesId && reader.isDone() && !reader.endsWithConnection();
+        if (mayBeStale && this->echoesOtherId(reader.message(), requestId)) {
+            if (const beast::error_code excess = reader.skip()) {
+                co_return excess;
+            }
+            isHeaderReported = false;
         }
     }
-    // The last message read belongs to another request or is an interim response, so it is no response to this request.
-    co_return http::error::bad_status;
+    co_return beast::error_code();
 }
 
-void UpstreamPool::reportHeader(const Reader &reader, std::string_view requestId, const UpstreamCall &call) const
+void UpstreamPool::reportHeader(const ResponseReader::Message &header, std::string_view requestId, const UpstreamCall &call) const
 {
-    const std::size_t echoCount = reader.get().count(this->limits.requestIdField);
+    const std::size_t echoCount = header.count(this->limits.requestIdField);
     const bool isIdentified = echoCount == 1 || (echoCount == 0 && (requestId.empty() || !this->limits.alwaysEchoesId));
-    if (!call.onHeader || !isIdentified || isInterim(reader.get().result_int()) || this->echoesOtherId(reader, requestId)) {
+    if (!call.onHeader || !isIdentified || this->echoesOtherId(header, requestId)) {
         return;
     }
     HeaderList notices;
     for (const std::string &name : this->limits.noticeFields) {
-        const auto [first, last] = reader.get().equal_range(name);
+        const auto [first, last] = header.equal_range(name);
         for (auto field = first; field != last; ++field) {
             notices.add(name, std::string_view(field->value().data(), field->value().size()));
         }
     }
-    call.onHeader(reader.get().result_int(), notices);
+    call.onHeader(header.result_int(), notices);
 }
 
-bool UpstreamPool::echoesOtherId(const Reader &reader, std::string_view requestId) const
+bool UpstreamPool::echoesOtherId(const ResponseReader::Message &header, std::string_view requestId) const
 {
-    if (reader.get().count(this->limits.requestIdField) != 1) {
+    if (header.count(this->limits.requestIdField) != 1) {
         return false;
     }
-    const auto echo = reader.get()[this->limits.requestIdField];
+    const auto echo = header[this->limits.requestIdField];
     return std::string_view(echo.data(), echo.size()) != requestId;
 }
 
-absl::Status UpstreamPool::checkResponse(const Reader &reader, std::size_t bytesAfter, std::string_view requestId) const
+absl::Status UpstreamPool::checkResponse(const ResponseReader &reader, std::string_view requestId) const
 {
-    if (this->echoesOtherId(reader, requestId)) {
+    const ResponseReader::Message &response = reader.message();
+    if (this->echoesOtherId(response, requestId)) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes the id of another request");
     }
-    const std::size_t echoCount = reader.get().count(this->limits.requestIdField);
+    const std::size_t echoCount = response.count(this->limits.requestIdField);
     if (echoCount > 1) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes more than one id");
     }
@@ -302,10 +262,10 @@
         return isIdentified ? absl::OkStatus() : makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes no id");
     }
     // Without a length the body ends with the connection, so a truncated body cannot be told from a complete one.
-    if (reader.need_eof()) {
+    if (reader.endsWithConnection()) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "the response has neither a length nor chunked coding");
     }
-    if (bytesAfter != 0) {
+    if (reader.bytesAfter() != 0) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "unexpected bytes follow the response");
     }
     return absl::OkStatus();
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -2,16 +2,14 @@
 
 #include <galenarack/core/bytebudget.h>
 #include <galenarack/core/clock.h>
+#include <galenarack/http/responsereader.h>
 #include <galenarack/peer/peermessage.h>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -82,22 +80,17 @@
         std::vector<std::size_t> failedRequests{}; ///< Hashes of the ids of the requests that got an error response here.
     };
 
-    using Reader = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     boost::asio::awaitable<absl::StatusOr<std::unique_ptr<Connection>>> acquireConnection(std::string_view requestId, TimePoint deadline);
     /// Reads messages until the response to the request is complete. The reservation follows the bytes that are held.
-    boost::asio::awaitable<boost::beast::error_code> readResponse(Connection &connection,
+    boost::asio::awaitable<boost::beast::error_code> readResponse(ResponseReader &reader,
                                                                   ByteReservation &reservation,
-                                                                  boost::beast::flat_buffer &buffer,
-                                                                  std::optional<Reader> &reader,
-                                                                  const PeerRequest &request,
                                                                   std::string_view requestId,
                                                                   const UpstreamCall &call) const;
     /// Passes the header to the handle, if it is that of the response to this request.
-    void reportHeader(const Reader &reader, std::string_view requestId, const UpstreamCall &call) const;
-    absl::Status checkResponse(const Reader &reader, std::size_t bytesAfter, std::string_view requestId) const;
+    void reportHeader(const ResponseReader::Message &header, std::string_view requestId, const UpstreamCall &call) const;
+    absl::Status checkResponse(const ResponseReader &reader, std::string_view requestId) const;
     /// @return whether the response echoes exactly one id, and it is that of another request
-    bool echoesOtherId(const Reader &reader, std::string_view requestId) const;
+    bool echoesOtherId(const ResponseReader::Message &header, std::string_view requestId) const;
 
     /// Closes the connections that it finds to have expired or to hold unread bytes.
     /// @return the idle connection that was used last among those on which the request has not failed before, or null
