Reject responses whose status is not valid

Callers got a status of 000, 001, 099, 600 or 999 of an upstream in trouble as an answer, with its seal, and a 101 that nobody had asked for without its body. With Not-Executed beside the status, the request was offered up to nine times and then answered 503 not-run. Such an answer counted as a success of the upstream.

Cause: nobody checked the status between the parser, which takes any three digits, and the caller. Between nodes a status below 100 became a malformed HTTP/2 response, after which the ingress avoided the node.

ResponseReader now takes 100 to 599 only (RFC 9110 section 15) and no 101; any other status is UpstreamAnswerInvalid: 502, may have run, a failure of the upstream. It does so as soon as the header is read, before notices are heeded.

--- a/galenarack/http/responsereader.cpp
+++ b/galenarack/http/responsereader.cpp
@@ -24,6 +24,14 @@
 /// Servers send one or two.
 constexpr unsigned skippedResponseLimit = 8;
 
+beast::error_code checkHeader(const ResponseReader::Message &message)
+{
+    if (!isAcceptableStatus(message.result_int())) {
+        return http::error::bad_status;
+    }
+    return {};
+}
+
 } // namespace
 
 ResponseReader::ResponseReader(beast::tcp_stream &stream, const ResponseLimits &limits, bool isHead, std::shared_ptr<RequestWrite> write)
@@ -50,6 +58,9 @@
 {
     const auto [error, length] = co_await http::async_read_some(this->stream, this->buffer, *this->parser, awaitTuple);
     if (!this->isHeaderValid && this->parser->is_header_done()) {
+        if (const beast::error_code invalid = checkHeader(this->message())) {
+            co_return invalid;
+        }
         this->isHeaderValid = !isInterimStatus(this->message().result_int());
     }
     if (error || !this->parser->is_done()) {
--- /dev/null
+++ b/processtests/brokenanswertest.cpp
@@ -0,0 +1,211 @@
+#include "support/platformfleet.h"
+#include "support/rawupstream.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace Galenarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned badGateway = 502;
+constexpr std::size_t uploadBytes = 12 * 1024 * 1024;
+
+struct AnswerCase
+{
+    const char *name;
+    RawAnswer answer;
+    unsigned status; ///< Expected status at the caller.
+    std::string body; ///< Expected body of an answer that is passed on.
+    std::size_t requestBytes = 0; ///< Size of the request's body; with 0 the request has none.
+};
+
+/// Two nodes; the upstream of the second one, which all routes lead to, sends raw bytes.
+class RawFleet
+{
+public:
+    static constexpr unsigned nodeCount = 2;
+
+    RawFleet()
+        : fleet(nodeCount)
+        , upstream(fleet.context)
+    {
+        this->fleet.maxBodyBytes = 2 * uploadBytes;
+        this->fleet.publishConfig("/read/");
+        this->fleet.setUpstreamAddress(1, this->upstream.address());
+        CPPUNIT_ASSERT(this->fleet.startAll());
+    }
+
+    /// Sends a request and waits for its end.
+    StandIns::Exchange send(unsigned node, const std::string &method, const std::string &target, const std::string &id, std::size_t bytes)
+    {
+        std::optional<StandIns::Exchange> result;
+        asio::co_spawn(this->fleet.context, this->exchange(node, method, target, id, bytes, result), asio::detached);
+        while (!result) {
+            this->fleet.runFor(10ms);
+        }
+        return *result;
+    }
+
+    /// Sends requests that get sound answers, so that the upstream is not ejected for those before.
+    void restoreHealth(unsigned node, const std::string &name)
+    {
+        for (int i = 0; i < 12; ++i) {
+            this->send(node, "GET", "/read/x", "sound-" + name + std::to_string(i), 0);
+        }
+    }
+
+    asio::awaitable<void> exchange(
+        unsigned node, std::string method, std::string target, std::string id, std::size_t bytes, std::optional<StandIns::Exchange> &result)
+    {
+        constexpr auto deadline = 4s;
+        StandIns::HttpClient client(this->fleet.context, this->fleet.callerAddress(node, true));
+        StandIns::HttpRequest request(http::string_to_verb(method), target, 11);
+        request.set(http::field::host, "fleet.example");
+        request.set("Request-Id", id);
+        request.set("Deadline-Ms", std::to_string(std::chrono::milliseconds(deadline).count()));
+        request.body() = std::string(bytes, 'x');
+        result = co_await client.exchange(std::move(request), deadline + 1500ms);
+    }
+
+    PlatformFleet fleet;
+    RawUpstream upstream;
+};
+
+const std::vector<AnswerCase> &answerCases()
+{
+    const std::string ok = "HTTP/1.1 200 OK";
+    const std::string twoBytes = "Content-Length: 2\r\n";
+    static const std::vector<AnswerCase> table = {
+        {"status 000", {"HTTP/1.1 000 None", twoBytes, "ok"}, badGateway, ""},
+        {"status 001", {"HTTP/1.1 001 None", twoBytes, "ok"}, badGateway, ""},
+        {"status 099", {"HTTP/1.1 099 None", twoBytes, "ok"}, badGateway, ""},
+        {"status 101", {"HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n", ""}, badGateway, ""},
+        {"status 600", {"HTTP/1.1 600 None", twoBytes, "ok"}, badGateway, ""},
+        {"status 999", {"HTTP/1.1 999 None", twoBytes, "ok"}, badGateway, ""},
+        {"status 000, not executed", {"HTTP/1.1 000 None", "Not-Executed: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"status 201", {"HTTP/1.1 201 Created", twoBytes, "ok"}, 201, "ok"},
+        {"status 204", {"HTTP/1.1 204 No Content", "", ""}, 204, ""},
+        {"status 299", {"HTTP/1.1 299 ", twoBytes, "ok"}, 299, "ok"},
+        {"status 304", {"HTTP/1.1 304 Not Modified", "", ""}, 304, ""},
+        {"status 404", {"HTTP/1.1 404 Not Found", twoBytes, "ok"}, 404, "ok"},
+        {"interim 103 first", {"HTTP/1.1 103 Early Hints\r\n\r\n" + ok, twoBytes, "ok"}, 200, "ok"},
+    };
+    return table;
+}
+
+} // namespace
+
+class BrokenAnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BrokenAnswerTest);
+    CPPUNIT_TEST(onlyWholeAndValidAnswersReachCallers);
+    CPPUNIT_TEST(brokenAnswersEndNoOtherRequests);
+    CPPUNIT_TEST(brokenAnswersCountAgainstTheUpstream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against an answer that is broken, or that ended early, and reaches a caller as an answer of the upstream or as a promise
+    /// that the request has not run, and against a valid one that does not reach the caller. Covers the path between nodes and the one
+    /// within a node, work that may be repeated and work that may not.
+    void onlyWholeAndValidAnswersReachCallers()
+    {
+        const struct
+        {
+            const char *target;
+            unsigned node;
+        } paths[] = {{"/write/x", 0}, {"/read/x", 0}, {"/write/x", 1}};
+        RawFleet raw;
+        std::string mismatches;
+        unsigned count = 0;
+        for (const AnswerCase &row : answerCases()) {
+            for (const auto &path : paths) {
+                const std::string id = "r" + std::to_string(count++);
+                const std::string method = row.requestBytes != 0 || path.target[1] == 'w' ? "POST" : "GET";
+                raw.restoreHealth(path.node, id);
+                raw.upstream.answer = row.answer;
+                const StandIns::Exchange seen = raw.send(path.node, method, path.target, id, row.requestBytes);
+                const bool isPassedOn = row.status != badGateway;
+                const bool isExpected = seen.end == StandIns::ExchangeEnd::Complete && seen.response.result_int() == row.status
+                                        && (seen.response.count("Server-Seal") != 0) == isPassedOn
+                                        && (!isPassedOn || seen.response.body() == row.body);
+                if (!isExpected) {
+                    mismatches += std::string(row.name) + ", node " + std::to_string(path.node) + ", " + path.target + ": "
+                                  + std::string(exchangeEndName(seen.end)) + " " + std::to_string(seen.response.result_int()) + ", "
+                                  + seen.response.body() + "\n";
+                }
+                const unsigned arrivals = raw.upstream.arrivals[id];
+                if (arrivals == 0 || (arrivals > 1 && path.target[1] == 'w')) {
+                    mismatches += std::string(row.name) + ": " + std::to_string(arrivals) + " arrivals\n";
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches);
+    }
+
+    /// Guards against a broken answer that ends the session between two nodes, and with it other requests in flight.
+    void brokenAnswersEndNoOtherRequests()
+    {
+        constexpr unsigned soundCount = 24;
+        RawFleet raw;
+        raw.upstream.delay = 30ms;
+        unsigned count = 0;
+        for (const char *statusLine : {"HTTP/1.1 000 None", "HTTP/1.1 999 None", "HTTP/1.1 200 O\x01K", "no answer"}) {
+            raw.upstream.answer = {statusLine, "Connection: close\r\nContent-Length: 2\r\n", "ok"};
+            std::optional<StandIns::Exchange> broken;
+            std::vector<std::optional<StandIns::Exchange>> sound(soundCount);
+            const std::string name = std::to_string(count++);
+            raw.restoreHealth(0, "before-" + name);
+            asio::co_spawn(raw.fleet.context, raw.exchange(0, "POST", "/write/x", "broken-" + name, 0, broken), asio::detached);
+            for (unsigned i = 0; i < soundCount; ++i) {
+                const std::string id = "sound-" + name + std::to_string(i);
+                asio::co_spawn(raw.fleet.context, raw.exchange(0, "GET", "/read/x", id, 0, sound[i]), asio::detached);
+            }
+            const auto isPending = [](const std::optional<StandIns::Exchange> &exchange) {
+                return !exchange.has_value();
+            };
+            while (isPending(broken) || std::ranges::any_of(sound, isPending)) {
+                raw.fleet.runFor(10ms);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(statusLine, badGateway, broken->response.result_int());
+            for (const auto &exchange : sound) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(statusLine, std::string("sound"), exchange->response.body());
+            }
+        }
+    }
+
+    /// Guards against an upstream whose broken answers do not count against its health, and which keeps getting its share of the
+    /// requests.
+    void brokenAnswersCountAgainstTheUpstream()
+    {
+        constexpr unsigned requestCount = 60;
+        PlatformFleet fleet(4);
+        RawUpstream broken(fleet.context);
+        broken.answer = {"HTTP/1.1 000 None", "Content-Length: 2\r\n", "ok"};
+        fleet.setUpstreamAddress(1, broken.address());
+        CPPUNIT_ASSERT(fleet.startAll());
+        unsigned served = 0;
+        for (unsigned i = 0; i < requestCount; ++i) {
+            const CallResult result = fleet.sendAndWait(i % 2, "GET", "/read/x", "h" + std::to_string(i));
+            served += result.status == 200 && result.isSigned ? 1 : 0;
+            CPPUNIT_ASSERT(result.status == 200 || result.status == badGateway);
+        }
+        // Both nodes prefer the upstream while it is healthy: it is in their failure domain.
+        CPPUNIT_ASSERT(!broken.arrivals.empty());
+        CPPUNIT_ASSERT(broken.arrivals.size() <= requestCount / 4);
+        CPPUNIT_ASSERT(served >= requestCount * 9 / 10);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -454,7 +454,8 @@
     std::snprintf(digits.data(), digits.size() + 1, "%08x", static_cast<unsigned>(this->version++));
     const Json config
         = {{"version", digits},
-           {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 1048576}, {"header-timeout-ms", 3000}, {"idle-timeout-ms", 15000}}},
+           {"limits",
+            {{"max-header-bytes", 16384}, {"max-body-bytes", this->maxBodyBytes}, {"header-timeout-ms", 3000}, {"idle-timeout-ms", 15000}}},
            {"listeners", {{{"host", "fleet.example"}, {"rules", rules}}}},
            {"clusters",
             {{{"name", "back"}, {"health-path", "/healthz"}, {"max-connections", 100}},
@@ -468,6 +469,11 @@
     this->registry.put("op/config", this->lastConfig);
 }
 
+void PlatformFleet::setUpstreamAddress(unsigned node, const Tcp::endpoint &address)
+{
+    this->upstreamAddresses[node] = endpointText(address);
+}
+
 void PlatformFleet::startNode(unsigned node)
 {
     const std::string vm = this->vmAddress(node);
@@ -478,17 +484,18 @@
     const auto relayed = [this, node](Path path) {
         return endpointText(this->relays[node][static_cast<std::size_t>(path)]->address());
     };
-    const std::vector<std::string> arguments
-        = {"--fleet=test",
-           "--vm=vm-" + std::to_string(node),
-           std::string("--failure_domain=") + (node < this->nodeCount / 2 ? "a" : "b"),
-           "--caller_address=" + this->directAddress(node, 0),
-           "--peer_address=" + address(1),
-           "--peer_listen_address=" + this->directAddress(node, 1),
-           "--operators_address=" + address(2),
-           "--home_upstreams=" + std::string(node % 2 == 0 ? "front" : "back") + "=" + relayed(Path::Upstream),
-           "--registry=" + relayed(Path::Registry),
-           "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
+    const auto direct = this->upstreamAddresses.find(node);
+    const std::vector<std::string> arguments = {"--fleet=test",
+                                                "--vm=vm-" + std::to_string(node),
+                                                std::string("--failure_domain=") + (node < this->nodeCount / 2 ? "a" : "b"),
+                                                "--caller_address=" + this->directAddress(node, 0),
+                                                "--peer_address=" + address(1),
+                                                "--peer_listen_address=" + this->directAddress(node, 1),
+                                                "--operators_address=" + address(2),
+                                                "--home_upstreams=" + serviceOf(node) + "="
+                                                    + (direct == this->upstreamAddresses.end() ? relayed(Path::Upstream) : direct->second),
+                                                "--registry=" + relayed(Path::Registry),
+                                                "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
     this->processes[node]
         = std::make_unique<ChildProcess>(otherBuild != nullptr ? std::filesystem::path(otherBuild) : programPath("galenarackd"),
                                          arguments,
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -255,6 +255,9 @@
     /// Starts the registry, upstreams and relays, but no nodes.
     explicit PlatformFleet(unsigned nodes);
 
+    /// Makes a node reach its upstream at this address, without a relay, from the next start of its process on.
+    void setUpstreamAddress(unsigned node, const StandIns::Tcp::endpoint &address);
+
     /// Starts a process of a node. It replaces the previous process of the node, which is killed if it still runs.
     void startNode(unsigned node);
 
@@ -333,6 +336,7 @@
     RegistryStandIn registry;
     std::vector<std::unique_ptr<PlatformUpstream>> upstreams; ///< Upstream of each node.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< Process of each node, null before its first start.
+    std::size_t maxBodyBytes = 1024 * 1024; ///< Limit of a request's body in the next configuration, in bytes.
 
 private:
     /// @return IPv4 address of the VM of a node
@@ -346,6 +350,7 @@
 
     TemporaryFolder folder;
     unsigned nodeCount;
+    std::map<unsigned, std::string> upstreamAddresses; ///< Addresses of upstreams that are reached without a relay, by node.
     std::string lastConfig; ///< Configuration that was written last.
     std::uint64_t version = 1; ///< Version of the next configuration.
     std::uint64_t sequence = 1; ///< Sequence number of the next upstream entry.
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -27,6 +27,9 @@
     LateBytes, ///< The upstream sends a second response 50 ms later.
     Reset, ///< The upstream resets the connection after the response.
     Endless, ///< The upstream repeats the last part until the connection is closed.
+    PauseThenClose, ///< The upstream closes the connection 50 ms after the response.
+    ReadThenClose, ///< The upstream reads the rest of the request and closes the connection.
+    HalfCloseThenRead, ///< The upstream shuts down its sending direction, pauses, reads the rest of the request and closes.
 };
 
 struct Script
@@ -82,6 +85,7 @@
                 co_return;
             }
             this->lastRequest = buffer.substr(0, length);
+            this->bodyBytesRead = buffer.size() - length;
             buffer.clear();
             const Script now = std::exchange(this->script, this->following);
             const std::string bytes = std::exchange(lateCopy, now.lateCopy) + now.response;
@@ -90,16 +94,27 @@
                 isOpen = !std::get<0>(co_await asio::async_write(socket, asio::buffer(now.part), awaitTuple));
                 this->endlessClosed = !isOpen;
             }
-            if (now.after == After::Reset) {
+            if (now.after == After::Reset || now.after == After::PauseThenClose) {
                 asio::steady_timer timer(socket.get_executor(), 50ms);
                 co_await timer.async_wait(awaitTuple);
-                socket.set_option(asio::socket_base::linger(true, 0));
+                socket.set_option(asio::socket_base::linger(now.after == After::Reset, 0));
                 socket.close();
                 co_return;
             }
             if (now.after == After::Close || now.after == After::Endless) {
                 co_return;
             }
+            if (now.after == After::ReadThenClose) {
+                co_await this->readBody(socket);
+                co_return;
+            }
+            if (now.after == After::HalfCloseThenRead) {
+                socket.shutdown(tcp::socket::shutdown_send);
+                asio::steady_timer timer(socket.get_executor(), 50ms);
+                co_await timer.async_wait(awaitTuple);
+                co_await this->readBody(socket);
+                co_return;
+            }
             if (now.after == After::HalfClose) {
                 socket.shutdown(tcp::socket::shutdown_send);
             }
@@ -111,8 +126,25 @@
         }
     }
 
+    /// Reads the rest of the body of the last request.
+    asio::awaitable<void> readBody(tcp::socket &socket)
+    {
+        constexpr std::string_view lengthField = "Content-Length: ";
+        const std::size_t field = this->lastRequest.find(lengthField);
+        const std::size_t length = field == std::string::npos ? 0 : std::stoul(this->lastRequest.substr(field + lengthField.size()));
+        std::string part(64 * 1024, '\0');
+        while (this->bodyBytesRead < length) {
+            const auto [error, count] = co_await socket.async_read_some(asio::buffer(part), awaitTuple);
+            if (error) {
+                co_return;
+            }
+            this->bodyBytesRead += count;
+        }
+    }
+
     Script script;
     tcp::acceptor acceptor;
+    std::size_t bodyBytesRead = 0; ///< Number of bytes of the body of the last request that were read.
 };
 
 struct Case
@@ -141,6 +173,30 @@
     return runTask(context, pool.request(request, id, NodeClock::now() + timeout, call));
 }
 
+/// @return a response with the echo of the request and this status line, which has no body
+std::string withStatus(std::string_view statusLine)
+{
+    return std::string(statusLine) + "\r\ngalenarack-request-id: " + std::string(requestId) + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string kindName(const absl::StatusOr<PeerResponse> &response)
+{
+    return response.ok() ? "ok" : std::string(errorRow(errorKindOf(response.status())).name);
+}
+
+/// Rows of a table whose result is not the expected one, so that one run names all of them.
+struct Mismatches
+{
+    void compare(std::string_view row, std::string_view expected, std::string_view seen)
+    {
+        if (expected != seen) {
+            this->text += std::string(row) + ": expected " + std::string(expected) + ", got " + std::string(seen) + "\n";
+        }
+    }
+
+    std::string text;
+};
+
 const std::vector<Case> &cases()
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
@@ -196,6 +252,7 @@
     CPPUNIT_TEST(responseWithOtherEchoesIsInvalid);
     CPPUNIT_TEST(truncatedHeadIsNoResponse);
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
+    CPPUNIT_TEST(responseWithInvalidStatusIsInvalid);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
@@ -488,6 +545,49 @@
         }
     }
 
+    /// Guards against a number that is no status (RFC 9110 section 15), or a switch of protocols that nobody asked for, which is passed on
+    /// as a response, and against a valid status that is not.
+    void responseWithInvalidStatusIsInvalid()
+    {
+        const struct
+        {
+            const char *statusLine;
+            bool isValid;
+        } table[] = {
+            {"HTTP/1.1 000 None", false},
+            {"HTTP/1.1 001 None", false},
+            {"HTTP/1.1 099 None", false},
+            {"HTTP/1.1 101 Switching Protocols", false},
+            {"HTTP/1.1 600 None", false},
+            {"HTTP/1.1 999 None", false},
+            {"HTTP/1.1 200 OK", true},
+            {"HTTP/1.1 204 No Content", true},
+            {"HTTP/1.1 299 ", true},
+            {"HTTP/1.1 304 Not Modified", true},
+            {"HTTP/1.1 418 I'm a teapot", true},
+            {"HTTP/1.1 500 Internal Server Error", true},
+            {"HTTP/1.1 599 Unknown", true},
+            {"HTTP/1.0 200 OK", true},
+        };
+        Mismatches mismatches;
+        for (const auto &row : table) {
+            for (const bool alwaysEchoesId : {false, true}) {
+                asio::io_context context;
+                ScriptedUpstream upstream(context, {withStatus(row.statusLine)});
+                UpstreamLimits limits = smallLimits();
+                limits.alwaysEchoesId = alwaysEchoesId;
+                UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+                const auto response = sendRequest(context, pool, testTimeout);
+                const std::string expected = row.isValid ? "ok" : std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name);
+                mismatches.compare(row.statusLine, expected, kindName(response));
+                if (row.isValid && response.ok()) {
+                    mismatches.compare(row.statusLine, std::string(row.statusLine).substr(9, 3), std::to_string(response->status));
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
