Reject a response without a length that is reset during the upload

Callers got a 200 with a length and a part of the body: the upstream had answered a long upload at once, without a length, and reset the connection, or closed it with unread bytes, while the upload was being written.

Cause: the error of a reset goes to the first operation on the socket that meets it. While a body is being written that is the write; the read then finds the end of the stream, as after a regular close, which ends a response without a length. The error of the write only decided whether the connection is reused, and its handler may run after that of the read.

ResponseReader now takes such an end as the end of the body only if the write has not failed. If the write still goes on, it waits 20 ms for it: an upstream that has closed both directions answers further bytes with a reset within a round trip on its own VM, and one that has only shut down its sending direction does not. After that the response is whole, also while the upstream has not read the request to its end.

--- a/galenarack/http/responsereader.cpp
+++ b/galenarack/http/responsereader.cpp
@@ -3,6 +3,7 @@
 #include <galenarack/http/status.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -24,6 +25,9 @@
 /// Servers send one or two.
 constexpr unsigned skippedResponseLimit = 8;
 
+/// A server that closes both directions answers the rest of the request with a reset, within a round trip.
+constexpr Duration resetDelay = std::chrono::milliseconds(20);
+
 beast::error_code checkHeader(const ResponseReader::Message &message)
 {
     if (!isAcceptableStatus(message.result_int())) {
@@ -74,6 +78,14 @@
     if (isInterimStatus(this->message().result_int())) {
         co_return this->skip();
     }
+    if (this->parser->need_eof() && this->write) {
+        // The error of a reset goes to the first operation on the socket that meets it. If that is the write, the read finds an end as
+        // after a regular close.
+        const beast::error_code writeError = co_await this->write->waitForError(resetDelay);
+        if (writeError) {
+            co_return asio::error::connection_reset;
+        }
+    }
     this->isComplete = true;
     co_return beast::error_code();
 }
--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -87,6 +87,8 @@
 {
     const std::string ok = "HTTP/1.1 200 OK";
     const std::string twoBytes = "Content-Length: 2\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
     static const std::vector<AnswerCase> table = {
         {"status 000", {"HTTP/1.1 000 None", twoBytes, "ok"}, badGateway, ""},
         {"status 001", {"HTTP/1.1 001 None", twoBytes, "ok"}, badGateway, ""},
@@ -101,6 +103,17 @@
         {"status 304", {"HTTP/1.1 304 Not Modified", "", ""}, 304, ""},
         {"status 404", {"HTTP/1.1 404 Not Found", twoBytes, "ok"}, 404, "ok"},
         {"interim 103 first", {"HTTP/1.1 103 Early Hints\r\n\r\n" + ok, twoBytes, "ok"}, 200, "ok"},
+        {"no length, reset during the upload", {ok, "", "part", RawEnd::Reset}, badGateway, "", uploadBytes},
+        {"no length, HTTP/1.0, reset during the upload", {"HTTP/1.0 200 OK", "", "part", RawEnd::Reset}, badGateway, "", uploadBytes},
+        {"no length, closed during the upload", {ok, "", "part", RawEnd::Close}, badGateway, "", uploadBytes},
+        {"no length, reset", {ok, "", "part", RawEnd::Reset}, badGateway, ""},
+        {"length, reset during the upload", {ok, "Content-Length: 9\r\n", "part", RawEnd::Reset}, badGateway, "", uploadBytes},
+        {"chunks, reset during the upload", {ok, chunked, "4\r\npart\r\n", RawEnd::Reset}, badGateway, "", uploadBytes},
+        {"no length, closed", {ok, "", "whole", RawEnd::Close}, 200, "whole"},
+        {"no length, upload read, closed", {ok, "", "whole", RawEnd::ReadThenClose}, 200, "whole", uploadBytes},
+        {"no length, half-closed, upload read later", {ok, "", "whole", RawEnd::HalfCloseThenRead}, 200, "whole", uploadBytes},
+        {"length, upload read later", {ok, twoBytes, "ok", RawEnd::ReadThenClose}, 200, "ok", uploadBytes},
+        {"chunks, upload read later", {ok, chunked, chunks, RawEnd::ReadThenClose}, 200, "ok", uploadBytes},
     };
     return table;
 }
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -253,6 +253,7 @@
     CPPUNIT_TEST(truncatedHeadIsNoResponse);
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(responseWithInvalidStatusIsInvalid);
+    CPPUNIT_TEST(responseResetDuringUploadIsCut);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
@@ -588,6 +589,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
     }
 
+    /// Guards against a response without a length that is reset while the request is being written, and whose part is passed on as a
+    /// complete one: the write consumes the error of the socket, and the read then finds a regular end.
+    void responseResetDuringUploadIsCut()
+    {
+        const std::string echo = "galenarack-request-id: " + std::string(requestId) + "\r\n";
+        const std::string head = "HTTP/1.1 200 OK\r\n" + echo;
+        const struct
+        {
+            const char *name;
+            Script script;
+            bool isComplete;
+        } table[] = {
+            {"no length, reset", {head + "\r\nok", After::Reset}, false},
+            {"no length, HTTP/1.0, reset", {"HTTP/1.0 200 OK\r\n" + echo + "\r\nok", After::Reset}, false},
+            {"no length, closed with unread bytes", {head + "\r\nok", After::PauseThenClose}, false},
+            {"no length, closed at once with unread bytes", {head + "\r\nok", After::Close}, false},
+            {"length, reset", {head + "Content-Length: 9\r\n\r\nok", After::Reset}, false},
+            {"chunks, reset", {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", After::Reset}, false},
+            {"no length, request read, closed", {head + "\r\nok", After::ReadThenClose}, true},
+            {"no length, half-closed, request read later", {head + "\r\nok", After::HalfCloseThenRead}, true},
+            {"length, request read later", {head + "Content-Length: 2\r\n\r\nok", After::ReadThenClose}, true},
+            {"length, reset after it", {head + "Content-Length: 2\r\n\r\nok", After::Reset}, true},
+            {"chunks, request read later", {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", After::ReadThenClose}, true},
+        };
+        // Larger than the socket buffers of both ends.
+        constexpr std::size_t uploadBytes = 24 * 1024 * 1024;
+        Mismatches mismatches;
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, row.script);
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const PeerRequest request{"POST", "/records/1", {}, std::string(uploadBytes, 'x')};
+            UpstreamCall call;
+            const auto response = runTask(context, pool.request(request, requestId, NodeClock::now() + testTimeout, call));
+            const std::string expected = row.isComplete ? "ok" : std::string(errorRow(ErrorKind::UpstreamAnswerCut).name);
+            mismatches.compare(row.name, expected, kindName(response));
+            if (row.isComplete && response.ok()) {
+                mismatches.compare(row.name, "ok", response->body);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
