Test that field names of a response are tokens

Here the parser already rejects each form (blank inside and before the colon, tab, control bytes, DEL, NUL, bytes above 127, bare CR, empty, without a colon, and control bytes in a value): the caller gets 502. The product is not changed.

--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -114,6 +114,13 @@
         {"no length, half-closed, upload read later", {ok, "", "whole", RawEnd::HalfCloseThenRead}, 200, "whole", uploadBytes},
         {"length, upload read later", {ok, twoBytes, "ok", RawEnd::ReadThenClose}, 200, "ok", uploadBytes},
         {"chunks, upload read later", {ok, chunked, chunks, RawEnd::ReadThenClose}, 200, "ok", uploadBytes},
+        {"blank in a field name", {ok, "X Field: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"blank before the colon", {ok, "X-Field : 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"control byte in a field name", {ok, "X-\x01Q: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"control byte before a field name", {ok, "\x02X-Field: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"empty field name", {ok, ": 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"field without a colon", {ok, "X-Field\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"field name above 127", {ok, "X-\xef: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
     };
     return table;
 }
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -254,6 +254,7 @@
     CPPUNIT_TEST(responseWithoutLengthIsCompleteOnlyAtTheEnd);
     CPPUNIT_TEST(responseWithInvalidStatusIsInvalid);
     CPPUNIT_TEST(responseResetDuringUploadIsCut);
+    CPPUNIT_TEST(responseWithInvalidFieldNameIsInvalid);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
@@ -634,6 +635,56 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
     }
 
+    /// Guards against a header section with a name that is no token (RFC 9110 section 5.1), which is passed on or hides where the body
+    /// begins.
+    void responseWithInvalidFieldNameIsInvalid()
+    {
+        const struct
+        {
+            const char *name;
+            std::string line;
+        } table[] = {
+            {"blank in the name", "X Field: 1"},
+            {"blank before the colon", "X-Field : 1"},
+            {"tab before the colon", "X-Field\t: 1"},
+            {"control byte in the name",
+             "X-\x01"
+             "Field: 1"},
+            {"DEL in the name",
+             "X-\x7f"
+             "Field: 1"},
+            {"NUL in the name", std::string("X-\0Field: 1", 11)},
+            {"control byte first", "\x02X-Field: 1"},
+            {"vertical tab first", "\x0bX-Field: 1"},
+            {"byte above 127",
+             "X-F\xef"
+             "ield: 1"},
+            {"empty name", ": 1"},
+            {"no colon", "X-Field"},
+            {"bare CR in the name", "X-\rField: 1"},
+            {"control byte in the value", "X-Field: 1\x01"},
+            {"NUL in the value", std::string("X-Field: 1\0", 11)},
+        };
+        const std::string status = "HTTP/1.1 200 OK\r\n";
+        const std::string rest = "galenarack-request-id: " + std::string(requestId) + "\r\nContent-Length: 2\r\n";
+        Mismatches mismatches;
+        for (const auto &row : table) {
+            for (const bool isFirst : {true, false}) {
+                for (const bool alwaysEchoesId : {false, true}) {
+                    asio::io_context context;
+                    const std::string line = row.line + "\r\n";
+                    ScriptedUpstream upstream(context, {status + (isFirst ? line + rest : rest + line) + "\r\nok"});
+                    UpstreamLimits limits = smallLimits();
+                    limits.alwaysEchoesId = alwaysEchoesId;
+                    UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+                    const auto response = sendRequest(context, pool, testTimeout);
+                    mismatches.compare(row.name, std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name), kindName(response));
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
