Reject responses in a transfer coding other than chunks

Callers got bytes in a coding that nobody removes as the body of an answer, without the field that names it: with Transfer-Encoding gzip, empty, more than chunked, in two fields, or chunked in HTTP/1.0, which has no chunks.

Cause: the parser ends chunks only if chunked is the last coding, and ignores all others; then the field is dropped as one of a single connection. The check that requests of callers already get was not made for responses.

hasKnownTransferCoding is now the check for both. Only a single chunked in HTTP/1.1 is accepted, since requests name no other coding in TE.

--- a/galenarack/http/responsereader.cpp
+++ b/galenarack/http/responsereader.cpp
@@ -1,5 +1,6 @@
 #include <galenarack/http/responsereader.h>
 
+#include <galenarack/http/framing.h>
 #include <galenarack/http/status.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -33,6 +34,9 @@
     if (!isAcceptableStatus(message.result_int())) {
         return http::error::bad_status;
     }
+    if (!hasKnownTransferCoding(message)) {
+        return http::error::bad_transfer_encoding;
+    }
     return {};
 }
 
--- a/galenarack/ingress/callermessage.cpp
+++ b/galenarack/ingress/callermessage.cpp
@@ -1,6 +1,7 @@
 #include <galenarack/ingress/callermessage.h>
 
 #include <galenarack/core/text.h>
+#include <galenarack/http/framing.h>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
@@ -31,12 +32,9 @@
 {
     const std::size_t lengths = message.count(http::field::content_length);
     const std::size_t codings = message.count(http::field::transfer_encoding);
-    if (lengths + codings > 1) {
+    if (lengths + codings > 1 || !hasKnownTransferCoding(message)) {
         return false;
     }
-    if (codings == 1) {
-        return message.version() == 11 && beast::iequals(message[http::field::transfer_encoding], "chunked");
-    }
     const std::string_view length = message[http::field::content_length];
     return std::ranges::all_of(length, [](char c) {
         return c >= '0' && c <= '9';
--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -121,6 +121,9 @@
         {"empty field name", {ok, ": 1\r\n" + twoBytes, "ok"}, badGateway, ""},
         {"field without a colon", {ok, "X-Field\r\n" + twoBytes, "ok"}, badGateway, ""},
         {"field name above 127", {ok, "X-\xef: 1\r\n" + twoBytes, "ok"}, badGateway, ""},
+        {"transfer coding that is not chunked", {ok, "Transfer-Encoding: gzip\r\n", "coded"}, badGateway, ""},
+        {"transfer coding below chunks", {ok, "Transfer-Encoding: gzip, chunked\r\n", chunks}, badGateway, ""},
+        {"empty transfer coding", {ok, "Transfer-Encoding:\r\n", "ok"}, badGateway, ""},
     };
     return table;
 }
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -255,6 +255,7 @@
     CPPUNIT_TEST(responseWithInvalidStatusIsInvalid);
     CPPUNIT_TEST(responseResetDuringUploadIsCut);
     CPPUNIT_TEST(responseWithInvalidFieldNameIsInvalid);
+    CPPUNIT_TEST(responseWithOtherTransferCodingIsInvalid);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
@@ -685,6 +686,46 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
     }
 
+    /// Guards against bytes in a transfer coding that this node can't remove, and that are passed on as the body without the field that
+    /// names the coding.
+    void responseWithOtherTransferCodingIsInvalid()
+    {
+        const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+        const struct
+        {
+            const char *name;
+            std::string fields;
+            std::string body;
+            bool isValid;
+            const char *version = "HTTP/1.1";
+        } table[] = {
+            {"gzip", "Transfer-Encoding: gzip\r\n", "coded", false},
+            {"empty", "Transfer-Encoding:\r\n", "ok", false},
+            {"gzip, then chunked", "Transfer-Encoding: gzip, chunked\r\n", chunks, false},
+            {"chunked, then gzip", "Transfer-Encoding: chunked, gzip\r\n", chunks, false},
+            {"two fields", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks, false},
+            {"chunked twice", "Transfer-Encoding: chunked, chunked\r\n", chunks, false},
+            {"gzip and a length", "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n", "ok", false},
+            {"chunked and a length", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", chunks, false},
+            {"chunked in HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunks, false, "HTTP/1.0"},
+            {"chunked", "Transfer-Encoding: chunked\r\n", chunks, true},
+            {"chunked in capitals", "Transfer-Encoding: Chunked\r\n", chunks, true},
+        };
+        const std::string echo = " 200 OK\r\ngalenarack-request-id: " + std::string(requestId) + "\r\n";
+        Mismatches mismatches;
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, {row.version + echo + row.fields + "\r\n" + row.body, After::Close});
+            UpstreamLimits limits = smallLimits();
+            limits.alwaysEchoesId = true;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            const auto response = sendRequest(context, pool, testTimeout);
+            const std::string expected = row.isValid ? "ok" : std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name);
+            mismatches.compare(row.name, expected, kindName(response));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
