Reject responses in a content coding that the request does not accept

It was passed on.

Cause: the field was forwarded like any other. UpstreamLimits now says whether an upstream codes only on request, as those of the registry do; a response with a coding that Accept-Encoding of the request does not name is then UpstreamAnswerInvalid.

--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -74,6 +74,11 @@
     return std::hash<std::string_view>()(requestId);
 }
 
+beast::string_view toBeastView(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
 bool isSuccess(unsigned status)
 {
     return status / 100 == 2;
@@ -125,6 +130,37 @@
     return error == asio::error::would_block;
 }
 
+/// @return whether the Accept-Encoding field of a request accepts this content coding by its name or by `*`
+bool acceptsContentCoding(std::string_view acceptEncoding, std::string_view coding)
+{
+    for (const auto &[name, parameters] : http::ext_list(toBeastView(acceptEncoding))) {
+        const bool isNamed = name == "*" || beast::iequals(name, toBeastView(coding));
+        const bool isRefused = std::ranges::any_of(parameters, [](const auto &parameter) {
+            return beast::iequals(parameter.first, "q") && parameter.second.find_first_not_of("0.") == beast::string_view::npos;
+        });
+        if (isNamed && !isRefused) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return whether the request accepts all content codings of the response
+bool acceptsContentCodings(const PeerRequest &request, const ResponseReader::Message &response)
+{
+    if (response.count(http::field::content_encoding) == 0) {
+        return true;
+    }
+    const std::string_view accepted = request.headers.find("accept-encoding").value_or("");
+    const auto [first, last] = response.equal_range(http::field::content_encoding);
+    return std::all_of(first, last, [accepted](const auto &field) {
+        const http::token_list codings(field.value());
+        return codings.begin() != codings.end() && std::all_of(codings.begin(), codings.end(), [accepted](const auto &coding) {
+                   return acceptsContentCoding(accepted, std::string_view(coding.data(), coding.size()));
+               });
+    });
+}
+
 } // namespace
 
 UpstreamPool::UpstreamPool(asio::any_io_executor executor, asio::ip::tcp::endpoint address, UpstreamLimits limits)
@@ -173,7 +209,7 @@
             ? makeError(ErrorKind::UpstreamAnswerTooLarge, "the responses in transit exceed their size limit, and this is the largest")
             : readError(error, deadline);
     }
-    if (absl::Status status = this->checkResponse(reader, requestId); !status.ok()) {
+    if (absl::Status status = this->checkResponse(reader, request, requestId); !status.ok()) {
         co_return status;
     }
     bool isReusable = reader.isConnectionReusable();
@@ -247,7 +283,7 @@
     return std::string_view(echo.data(), echo.size()) != requestId;
 }
 
-absl::Status UpstreamPool::checkResponse(const ResponseReader &reader, std::string_view requestId) const
+absl::Status UpstreamPool::checkResponse(const ResponseReader &reader, const PeerRequest &request, std::string_view requestId) const
 {
     const ResponseReader::Message &response = reader.message();
     if (this->echoesOtherId(response, requestId)) {
@@ -257,6 +293,9 @@
     if (echoCount > 1) {
         return makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes more than one id");
     }
+    if (this->limits.codesOnlyOnRequest && !acceptsContentCodings(request, response)) {
+        return makeError(ErrorKind::UpstreamAnswerInvalid, "the response has a content coding that the request does not accept");
+    }
     if (this->limits.alwaysEchoesId) {
         const bool isIdentified = echoCount == 1 || requestId.empty();
         return isIdentified ? absl::OkStatus() : makeError(ErrorKind::UpstreamAnswerInvalid, "the response echoes no id");
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -35,6 +35,8 @@
     /// Whether the upstream echoes the id in every response. If so, a response to an earlier request is skipped, bytes after
     /// the response are dropped with the connection, and a response without a length is complete when its connection ends.
     bool alwaysEchoesId = false;
+    /// Whether the upstream uses a content coding only if the request accepts it. If so, another coded response is not the upstream's.
+    bool codesOnlyOnRequest = false;
 };
 
 /// Handle of a request in progress at an upstream, with which another coroutine can abort it.
@@ -88,7 +90,7 @@
                                                                   const UpstreamCall &call) const;
     /// Passes the header to the handle, if it is that of the response to this request.
     void reportHeader(const ResponseReader::Message &header, std::string_view requestId, const UpstreamCall &call) const;
-    absl::Status checkResponse(const ResponseReader &reader, std::string_view requestId) const;
+    absl::Status checkResponse(const ResponseReader &reader, const PeerRequest &request, std::string_view requestId) const;
     /// @return whether the response echoes exactly one id, and it is that of another request
     bool echoesOtherId(const ResponseReader::Message &header, std::string_view requestId) const;
 
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -94,6 +94,7 @@
     limits.totalBytes = responseBytes;
     limits.requestIdField = dialect.requestId;
     limits.alwaysEchoesId = true;
+    limits.codesOnlyOnRequest = true;
     limits.noticeFields = {dialect.requestLimit, dialect.leaving, dialect.upstreamId};
     return limits;
 }
--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -124,6 +124,7 @@
         {"transfer coding that is not chunked", {ok, "Transfer-Encoding: gzip\r\n", "coded"}, badGateway, ""},
         {"transfer coding below chunks", {ok, "Transfer-Encoding: gzip, chunked\r\n", chunks}, badGateway, ""},
         {"empty transfer coding", {ok, "Transfer-Encoding:\r\n", "ok"}, badGateway, ""},
+        {"content coding", {ok, "Content-Encoding: gzip\r\n" + twoBytes, "ok"}, badGateway, ""},
     };
     return table;
 }
--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -256,6 +256,7 @@
     CPPUNIT_TEST(responseResetDuringUploadIsCut);
     CPPUNIT_TEST(responseWithInvalidFieldNameIsInvalid);
     CPPUNIT_TEST(responseWithOtherTransferCodingIsInvalid);
+    CPPUNIT_TEST(responseWithUnrequestedContentCodingIsInvalid);
     CPPUNIT_TEST(endlessResponseIsDropped);
     CPPUNIT_TEST(endlessBodiesAreDroppedBeforeOthers);
     CPPUNIT_TEST(noticesAreReadFromTheHeaderOfTheResponse);
@@ -726,6 +727,48 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
     }
 
+    /// Guards against a coded body that is passed on to a caller who asked for none, from an upstream that codes none either, and against
+    /// the loss of one that the caller asked for.
+    void responseWithUnrequestedContentCodingIsInvalid()
+    {
+        const struct
+        {
+            const char *name;
+            std::string coding; ///< Value of Content-Encoding.
+            std::optional<std::string> accepted; ///< Value of Accept-Encoding in the request.
+            bool codesOnlyOnRequest;
+            bool isValid;
+        } table[] = {
+            {"not asked for", "gzip", std::nullopt, true, false},
+            {"empty", "", std::nullopt, true, false},
+            {"other one asked for", "gzip", "br, deflate", true, false},
+            {"refused", "gzip", "gzip;q=0", true, false},
+            {"refused with decimals", "gzip", "br, gzip; q=0.000", true, false},
+            {"one of two asked for", "gzip, br", "gzip", true, false},
+            {"asked for", "gzip", "br, GZIP;q=0.5", true, true},
+            {"both asked for", "gzip, br", "gzip, br", true, true},
+            {"any asked for", "gzip", "*", true, true},
+            {"upstream that may code", "gzip", std::nullopt, false, true},
+        };
+        const std::string head = "HTTP/1.1 200 OK\r\ngalenarack-request-id: " + std::string(requestId) + "\r\nContent-Length: 2\r\n";
+        Mismatches mismatches;
+        for (const auto &row : table) {
+            asio::io_context context;
+            ScriptedUpstream upstream(context, {head + "Content-Encoding: " + row.coding + "\r\n\r\nok"});
+            UpstreamLimits limits = smallLimits();
+            limits.codesOnlyOnRequest = row.codesOnlyOnRequest;
+            UpstreamPool pool(context.get_executor(), upstream.address(), limits);
+            HeaderList headers;
+            if (row.accepted) {
+                headers.add("accept-encoding", *row.accepted);
+            }
+            const auto response = sendRequest(context, pool, testTimeout, headers);
+            const std::string expected = row.isValid ? "ok" : std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name);
+            mismatches.compare(row.name, expected, kindName(response));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches.text);
+    }
+
     /// Guards against an upstream that sends bytes without end and so keeps the connection, the memory or the request until the
     /// deadline. The bound of the bytes is what the socket buffers of both ends may hold beside the limits.
     void endlessResponseIsDropped()
