Reject responses of peers whose status is not valid

Between nodes, HTTP/2 only asks for three digits, so a node took 600 or 999 from a peer as an answer, for instance from one of an earlier release that had it from an upstream. PeerSession now uses the same rule as for upstreams; the request ends with PeerLost, may have run, and the session goes on.

Evidence: responseWithInvalidStatusIsPeerLost failed on for 600 and 999; 0, 1, 99, 100, 101, 103 and 1000 already ended as PeerLost there, and a request beside each of them was answered. All pass now.

--- a/galenarack/peer/peersession.cpp
+++ b/galenarack/peer/peersession.cpp
@@ -1,6 +1,7 @@
 #include <galenarack/peer/peersession.h>
 
 #include <galenarack/core/errorkind.h>
+#include <galenarack/http/status.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -239,6 +240,9 @@
         co_return makeError(ErrorKind::UpstreamAnswerTooLarge, "the response of the peer exceeds the size limit");
     }
     if (stream->complete && stream->closeCode == NGHTTP2_NO_ERROR) {
+        if (!isFinalStatus(stream->status)) {
+            co_return makeError(ErrorKind::PeerLost, "the response of the peer has an invalid status");
+        }
         co_return PeerResponse{stream->status, std::move(stream->headers), std::move(stream->body)};
     }
     if (stream->refused || isUncommitted) {
--- a/unittests/peersessiontest.cpp
+++ b/unittests/peersessiontest.cpp
@@ -36,7 +36,7 @@
 }
 
 /// Client and server session on one connection within this process. The server answers `/hold` once `released` is set. It
-/// answers other paths at once: `/size/N` with a body of N bytes, the rest with the body of the request.
+/// answers other paths at once: `/size/N` with a body of N bytes, `/status/N` with status N, the rest with the body of the request.
 struct Pair
 {
     /// @param clientLimits limits of the client session
@@ -68,7 +68,7 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
         PeerResponse response;
-        response.status = 201;
+        response.status = call->request.path.starts_with("/status/") ? std::stoul(call->request.path.substr(8)) : 201;
         response.headers.add("x-echo", call->request.headers.find("x-field").value_or(""));
         response.body
             = call->request.path.starts_with("/size/") ? std::string(std::stoul(call->request.path.substr(6)), 'x') : call->request.body;
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(pingReplyIsReported);
     CPPUNIT_TEST(endedRequestResetsTheStream);
     CPPUNIT_TEST(closedConnectionIsPeerLost);
+    CPPUNIT_TEST(responseWithInvalidStatusIsPeerLost);
     CPPUNIT_TEST(garbageClosesTheConnection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -308,6 +309,30 @@
         CPPUNIT_ASSERT(errorKindOf(pair.sendRequest(requestOf("/echo")).status()) == ErrorKind::PeerUnreachable);
     }
 
+    /// Guards against a number that is no status, which a peer sends and the caller gets, and against other requests that end with it.
+    void responseWithInvalidStatusIsPeerLost()
+    {
+        std::string mismatches;
+        for (const unsigned status : {0U, 1U, 99U, 100U, 101U, 103U, 600U, 999U, 1000U, 200U, 204U, 304U, 404U, 599U}) {
+            const bool isValid = status >= 200 && status <= 599;
+            const std::string body = status == 204 || status == 304 ? "" : "ok";
+            Pair pair;
+            pair.startServer();
+            pair.start(requestOf("/hold"));
+            pair.waitForCalls(1);
+            const auto response = pair.sendRequest(requestOf("/status/" + std::to_string(status), body), 2s);
+            const bool isExpected = isValid ? response.ok() && response->status == status
+                                            : !response.ok() && errorKindOf(response.status()) == ErrorKind::PeerLost;
+            mismatches += isExpected ? "" : "status " + std::to_string(status) + "; ";
+            pair.released = true;
+            runUntil(pair.context, [&pair] {
+                return pair.result.has_value();
+            });
+            mismatches += pair.result->ok() ? "" : "other request beside status " + std::to_string(status) + "; ";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches);
+    }
+
     /// Guards against data of another protocol that crashes the node or leaves the connection open.
     void garbageClosesTheConnection()
     {
