Read replies of the store and the configuration service by the same rules

ServiceClient had a parser of its own. On: - A status of 000, 099, 101 or 600, and a body in a transfer coding that is not chunked, were replies. The readers of both services refused these statuses later, but kept the connection. - An interim response was taken for the reply, and then the reply for that to the next call; likewise bytes after a reply. - A chunk extension or trailer field without end was kept until the call timed out: the client took all 64 MB that the stand-in was ready to send, and in a first form of the test, without that bound, the test process was killed for lack of memory.

It now uses ResponseReader, whose buffer is bounded and which belongs to one call. A connection on which more than the reply was received is closed.

Already right there: resets with and without a length, field names, status lines, fields and bodies without end.

--- a/galenarack/config/serviceclient.cpp
+++ b/galenarack/config/serviceclient.cpp
@@ -79,7 +79,6 @@
     if (error) {
         co_return makeError(ErrorKind::SettingInvalid, "configuration service: '" + this->settings.host + "' is not an IP address");
     }
-    this->buffer.clear();
     this->stream.emplace(this->executor);
     this->stream->expires_after(this->settings.connectTimeout);
     const asio::ip::tcp::endpoint endpoint(address, this->settings.port);
@@ -102,32 +101,32 @@
     if (writeError) {
         co_return callError(kindOfFailure(writeError, false), "cannot send the request", writeError);
     }
-    Parser parser;
-    parser.body_limit(this->settings.maxReplyBytes);
-    parser.header_limit(maxHeaderBytes);
-    if (const auto readError = co_await this->readResponse(parser, wait + this->settings.replyTimeout)) {
-        co_return callError(kindOfFailure(readError, parser.got_some()), "cannot read the response", readError);
+    ResponseReader reader(*this->stream, {maxHeaderBytes, this->settings.maxReplyBytes}, false);
+    if (const auto readError = co_await this->readResponse(reader, wait + this->settings.replyTimeout)) {
+        co_return callError(kindOfFailure(readError, reader.hasBegun()), "cannot read the response", readError);
     }
+    const bool keepsConnection = reader.isConnectionReusable() && this->settings.keepsConnection;
+    ResponseReader::Message message = reader.release();
     ServiceReply reply;
-    reply.status = parser.get().result_int();
-    reply.etag = withoutQuotes(parser.get()[http::field::etag]);
+    reply.status = message.result_int();
+    reply.etag = withoutQuotes(message[http::field::etag]);
     if (!this->settings.notedField.empty()) {
-        const auto noted = parser.get()[this->settings.notedField];
+        const auto noted = message[this->settings.notedField];
         reply.noted = std::string(noted.data(), noted.size());
     }
-    reply.body = std::move(parser.get().body());
-    if (!parser.get().keep_alive() || !this->settings.keepsConnection) {
+    reply.body = std::move(message.body());
+    if (!keepsConnection) {
         this->stream.reset();
     }
     co_return reply;
 }
 
-asio::awaitable<beast::error_code> ServiceClient::readResponse(Parser &parser, Duration headTimeout)
+asio::awaitable<beast::error_code> ServiceClient::readResponse(ResponseReader &reader, Duration headTimeout)
 {
     this->stream->expires_after(headTimeout);
     std::optional<TimePoint> end;
-    while (!parser.is_done()) {
-        const auto [error, length] = co_await http::async_read_some(*this->stream, this->buffer, parser, asTuple);
+    while (!reader.isDone()) {
+        const beast::error_code error = co_await reader.readSome();
         if (error) {
             co_return error;
         }
--- a/galenarack/config/serviceclient.h
+++ b/galenarack/config/serviceclient.h
@@ -1,14 +1,12 @@
 #pragma once
 
 #include <galenarack/core/clock.h>
+#include <galenarack/http/responsereader.h>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -82,17 +80,14 @@
     }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     boost::asio::awaitable<absl::Status> connect();
     boost::asio::awaitable<absl::StatusOr<ServiceReply>> exchange(const std::string &target, Duration wait);
     /// @param headTimeout time-out of the head
-    boost::asio::awaitable<boost::beast::error_code> readResponse(Parser &parser, Duration headTimeout);
+    boost::asio::awaitable<boost::beast::error_code> readResponse(ResponseReader &reader, Duration headTimeout);
 
     boost::asio::any_io_executor executor;
     ServiceSettings settings;
     std::optional<boost::beast::tcp_stream> stream;
-    boost::beast::flat_buffer buffer;
     std::uint64_t calls = 0;
     bool isClosed = false;
 };
