Read replies of nodes in galenarackctl by the same rules

galenarackctl showed a status of 000, 099 or 600 and a body in another transfer coding as the reply of a node, took an interim response for the reply, and kept a chunk extension without end: all 256 MB that the stand-in of the test was ready to send. It now uses ResponseReader.

Evidence: onlyWholeAndValidRepliesAreShown and endlessReplyIsDropped failed on in the rows of these cases and pass now. Already right there: resets with and without a length, and field names.

--- a/galenarackctl/nodeclient.cpp
+++ b/galenarackctl/nodeclient.cpp
@@ -2,6 +2,7 @@
 
 #include <galenarack/core/clock.h>
 #include <galenarack/core/errorkind.h>
+#include <galenarack/http/responsereader.h>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <gflags/gflags.h>
@@ -32,7 +32,8 @@
 
 constexpr Duration requestTimeout = std::chrono::seconds(5);
 /// Maximum size of a reply body. The status of 7,400 upstreams or 660 members is smaller than 3 MB.
-constexpr std::uint64_t maxReplyBytes = 16 << 20;
+constexpr std::size_t maxReplyBytes = 16 << 20;
+constexpr std::size_t maxHeaderBytes = 8 * 1024;
 
 bool isPort(std::string_view text)
 {
@@ -86,16 +87,17 @@
     request.set(http::field::host, node.toString());
     request.keep_alive(false);
     const auto [writeError, written] = co_await http::async_write(stream, request, asio::as_tuple(asio::use_awaitable));
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxReplyBytes);
-    const auto [readError, count] = co_await http::async_read(stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
-    if (writeError || readError) {
-        reply.failure = failureText("request", writeError ? writeError : readError);
+    beast::error_code error = writeError;
+    ResponseReader reader(stream, {maxHeaderBytes, maxReplyBytes}, false);
+    while (!error && !reader.isDone()) {
+        error = co_await reader.readSome();
+    }
+    if (error) {
+        reply.failure = failureText("request", error);
         co_return;
     }
-    reply.status = parser.get().result_int();
-    reply.body = nlohmann::ordered_json::parse(parser.get().body(), nullptr, false);
+    reply.status = reader.message().result_int();
+    reply.body = nlohmann::ordered_json::parse(reader.message().body(), nullptr, false);
     if (reply.body.is_discarded()) {
         reply.body = nullptr;
         reply.failure = "the response is not JSON; check that the address is that of the operators' port";
