--- a/unittests/upstreampooltest.cpp
+++ b/unittests/upstreampooltest.cpp
@@ -675,12 +675,14 @@
                 for (const bool alwaysEchoesId : {false, true}) {
                     asio::io_context context;
                     const std::string line = row.line + "\r\n";
-                    ScriptedUpstream upstream(context, {status + (isFirst ? line + rest : rest + line) + "\r\nok"});
+                    std::string response = status;
+                    response.append(isFirst ? line : rest).append(isFirst ? rest : line).append("\r\nok");
+                    ScriptedUpstream upstream(context, {response});
                     UpstreamLimits limits = smallLimits();
                     limits.alwaysEchoesId = alwaysEchoesId;
                     UpstreamPool pool(context.get_executor(), upstream.address(), limits);
-                    const auto response = sendRequest(context, pool, testTimeout);
-                    mismatches.compare(row.name, std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name), kindName(response));
+                    const auto result = sendRequest(context, pool, testTimeout);
+                    mismatches.compare(row.name, std::string(errorRow(ErrorKind::UpstreamAnswerInvalid).name), kindName(result));
                 }
             }
         }
