--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -9,6 +9,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
+#include <fstream>
 #include <future>
 #include <optional>
 #include <string>
@@ -24,6 +26,19 @@
 constexpr unsigned badGateway = 502;
 constexpr std::size_t uploadBytes = 12 * 1024 * 1024;
 
+/// @return largest resident size that the process has had, in KB
+std::size_t peakMemoryKb(pid_t process)
+{
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size()));
+        }
+    }
+    return 0;
+}
+
 struct AnswerCase
 {
     const char *name;
@@ -141,6 +156,7 @@
     CPPUNIT_TEST(onlyValidAnswersReachCallersWithoutRegistry);
     CPPUNIT_TEST(brokenAnswersEndNoOtherRequests);
     CPPUNIT_TEST(brokenAnswersCountAgainstTheUpstream);
+    CPPUNIT_TEST(endlessAnswersEndNoOtherRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -273,6 +289,53 @@
         CPPUNIT_ASSERT(broken.arrivals.size() <= requestCount / 4);
         CPPUNIT_ASSERT(served >= requestCount * 9 / 10);
     }
+
+    /// Guards against a node that keeps the bytes which its upstream sends without end, until its memory is used up and the requests of
+    /// other callers end with it.
+    void endlessAnswersEndNoOtherRequests()
+    {
+        // Default of --memory_mb.
+        constexpr std::size_t memoryKb = 256 * 1024;
+        const std::string ok = "HTTP/1.1 200 OK";
+        const std::string filler(64 * 1024, 'x');
+        const struct
+        {
+            const char *name;
+            RawAnswer answer;
+        } table[] = {
+            {"bytes that are no answer", {"SSH-2.0", "", "", RawEnd::Keep, filler}},
+            {"field", {ok, "X-Long: ", "", RawEnd::Keep, filler}},
+            {"body without a length", {ok, "\r\n", "", RawEnd::Keep, filler}},
+            {"chunks", {ok, "Transfer-Encoding: chunked\r\n\r\n", "", RawEnd::Keep, "10000\r\n" + filler + "\r\n"}},
+            {"chunk extension", {ok, "Transfer-Encoding: chunked\r\n\r\n2;a=", "", RawEnd::Keep, filler}},
+        };
+        RawFleet raw;
+        const pid_t process = raw.fleet.processes[1]->processId();
+        unsigned count = 0;
+        for (const auto &row : table) {
+            raw.upstream.answer = row.answer;
+            const std::string name = std::to_string(count++);
+            raw.restoreHealth(0, "before-" + name);
+            std::array<std::optional<StandIns::Exchange>, 3> endless;
+            for (std::size_t i = 0; i < endless.size(); ++i) {
+                const std::string id = "endless-" + name + std::to_string(i);
+                asio::co_spawn(raw.fleet.context, raw.exchange(0, "POST", "/write/x", id, 0, endless[i]), asio::detached);
+            }
+            const StandIns::Exchange sound = raw.send(0, "GET", "/read/sound", "sound-" + name, 0);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("sound"), sound.response.body());
+            while (std::ranges::any_of(endless, [](const auto &exchange) {
+                return !exchange.has_value();
+            })) {
+                raw.fleet.runFor(10ms);
+            }
+            for (const auto &exchange : endless) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, badGateway, exchange->response.result_int());
+            }
+            CPPUNIT_ASSERT_MESSAGE(row.name, raw.fleet.processes[1]->isRunning());
+            CPPUNIT_ASSERT_MESSAGE(row.name, peakMemoryKb(process) < memoryKb);
+        }
+        CPPUNIT_ASSERT(raw.upstream.endlessBytes > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- a/processtests/support/rawupstream.cpp
+++ b/processtests/support/rawupstream.cpp
@@ -81,13 +81,30 @@
             continue;
         }
         const RawAnswer now = this->answer;
-        const std::string bytes = now.statusLine + own + now.fields + "\r\n" + now.body;
+        const std::string bytes = now.statusLine + own + now.fields + (now.endlessPart.empty() ? "\r\n" : "") + now.body;
         co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
+        if (!now.endlessPart.empty()) {
+            co_await this->sendWithoutEnd(socket, now.endlessPart);
+            co_return;
+        }
         co_await this->finish(socket, now.end, unreadBytes);
         co_return;
     }
 }
 
+asio::awaitable<void> RawUpstream::sendWithoutEnd(Tcp::socket &socket, std::string part)
+{
+    // Keeps a node that holds all bytes from using up the memory of the machine.
+    constexpr std::size_t maxBytes = 1024 * 1024 * 1024;
+    while (this->endlessBytes < maxBytes) {
+        const auto [error, count] = co_await asio::async_write(socket, asio::buffer(part), awaitTuple);
+        this->endlessBytes += count;
+        if (error) {
+            break;
+        }
+    }
+}
+
 asio::awaitable<void> RawUpstream::finish(Tcp::socket &socket, RawEnd end, std::size_t unreadBytes)
 {
     boost::system::error_code ignored;
--- a/processtests/support/rawupstream.h
+++ b/processtests/support/rawupstream.h
@@ -28,6 +28,8 @@
     std::string fields; ///< Further header fields, each with its line end.
     std::string body; ///< Bytes after the header section.
     RawEnd end = RawEnd::Close;
+    /// Bytes that are repeated after the fields, without a blank line before them, until the connection is closed; may be empty.
+    std::string endlessPart{};
 };
 
 /// In-process stand-in for an upstream that sends any bytes as its answer. Requests whose target ends
@@ -46,11 +48,14 @@
 
     RawAnswer answer; ///< Answer to the next requests.
     std::chrono::milliseconds delay{0}; ///< Time between receipt of a request's header and the answer.
+    std::size_t endlessBytes = 0; ///< Number of bytes sent as RawAnswer::endlessPart.
     std::map<std::string, unsigned> arrivals; ///< Number of arrivals, by request id.
 
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(StandIns::Tcp::socket socket);
+    /// Repeats the bytes until the connection is closed, or 1 GB has been sent.
+    boost::asio::awaitable<void> sendWithoutEnd(StandIns::Tcp::socket &socket, std::string part);
     /// Ends the connection as the answer says.
     boost::asio::awaitable<void> finish(StandIns::Tcp::socket &socket, RawEnd end, std::size_t unreadBytes);
 
