--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -127,9 +128,24 @@
                    {{"vm", this->settings.vm},
                     {"failure_domain", this->settings.failureDomain},
                     {"service", this->settings.homeUpstreams.front().name}});
+    this->logBounds();
     return absl::OkStatus();
 }
 
+void ProxyNode::logBounds() const
+{
+    nlohmann::ordered_json inForce = nlohmann::ordered_json::object();
+    nlohmann::ordered_json defaults = nlohmann::ordered_json::array();
+    for (const Platform::NamedBound &bound : this->settings.bounds.inForce) {
+        inForce[bound.name] = bound.value;
+        if (!bound.isGiven) {
+            defaults.push_back(bound.name);
+        }
+    }
+    const nlohmann::ordered_json unused = this->settings.bounds.unused;
+    this->log.info("bounds in force", {{"bounds", &inForce}, {"defaults", &defaults}, {"unused", &unused}});
+}
+
 void ProxyNode::drain(std::string_view signal)
 {
     if (this->drainSchedule) {
@@ -138,6 +154,7 @@
     this->drainSchedule = DrainSchedule::forGrace(NodeClock::now(), this->settings.bounds.terminationGrace);
     this->log.info("node is leaving",
                    {{"signal", signal},
+                    {"grace_ms", toMilliseconds(TimePoint(this->settings.bounds.terminationGrace))},
                     {"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
                     {"home_in_progress", static_cast<std::int64_t>(this->home.inProgress())}});
     this->home.drain(*this->drainSchedule);
@@ -197,7 +214,9 @@
         this->router.logCutRequests(now);
         this->links.stop();
         this->log.info("node stopped",
-                       {{"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
+                       {{"since_signal_ms", toMilliseconds(TimePoint(now - this->drainSchedule->started))},
+                        {"served", isServed ? "yes" : "no"},
+                        {"callers_in_progress", static_cast<std::int64_t>(this->callers.pending())},
                         {"home_in_progress", static_cast<std::int64_t>(this->home.inProgress())}});
         this->context.stop();
     }
--- a/galenarack/proxy/proxynode.h
+++ b/galenarack/proxy/proxynode.h
@@ -37,6 +37,7 @@
 
 private:
     boost::asio::awaitable<void> tickLoop();
+    void logBounds() const;
     void updateMetrics();
     void tickDrain(TimePoint now);
     Readiness readiness() const;
