--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -27,7 +27,7 @@
 
 Json makeRoute(const ConfiguredRoute &route)
 {
-    Json action = {{"timeout-ms", 4000}, {"max-attempts", 3}};
+    Json action = {{"timeout-ms", route.timeout.count()}, {"max-attempts", 3}};
     if (route.services.size() == 1) {
         action["service"] = route.services.front();
     } else {
@@ -43,8 +43,38 @@
             {"action", action}};
 }
 
+/// @return the bounds of a deployment, in the order in which the platform gives them
+nlohmann::ordered_json deploymentBounds(unsigned graceSeconds)
+{
+    return {{"seed-lag-s", 3},
+            {"reuse-after-s", 2},
+            {"stable-window-ms", 3000},
+            {"drain-ms", 2000},
+            {"grace-s", graceSeconds},
+            {"config-apply-ms", 2000},
+            {"retry-budget-ratio", 0.2},
+            {"budget-window-s", 10},
+            {"budget-slack", 60},
+            {"floor-share", 0.7}};
+}
+
 } // namespace
 
+std::string boundsAsList(unsigned graceSeconds)
+{
+    const nlohmann::ordered_json bounds = deploymentBounds(graceSeconds);
+    std::string list;
+    for (const auto &[name, value] : bounds.items()) {
+        list.append(list.empty() ? "" : ",").append(name).append("=").append(value.dump());
+    }
+    return list;
+}
+
+std::string boundsAsTable(unsigned graceSeconds)
+{
+    return deploymentBounds(graceSeconds).dump();
+}
+
 RegistryStandIn::RegistryStandIn(asio::io_context &context)
     : context(context)
     , server(context, {asio::ip::address_v4::loopback(), 0}, [this](const HttpRequest &request) {
@@ -495,7 +525,7 @@
                                                 "--home_upstreams=" + serviceOf(node) + "="
                                                     + (direct == this->upstreamAddresses.end() ? relayed(Path::Upstream) : direct->second),
                                                 "--registry=" + relayed(Path::Registry),
-                                                "--bounds=retry-budget-ratio=0.2,budget-slack=60,budget-window-s=10,grace-s=6"};
+                                                "--bounds=" + this->bounds};
     this->processes[node]
         = std::make_unique<ChildProcess>(otherBuild != nullptr ? std::filesystem::path(otherBuild) : programPath("galenarackd"),
                                          arguments,
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -220,6 +220,7 @@
     std::string prefix; ///< Path prefix, with a slash at both ends.
     std::vector<std::string> services; ///< Services that share the requests evenly.
     bool idempotent = true;
+    std::chrono::milliseconds timeout{4000};
 };
 
 /// Outcome of one request as its caller observed it.
@@ -235,6 +236,13 @@
     std::string body;
 };
 
+/// @param graceSeconds time between SIGTERM and SIGKILL
+/// @return the bounds of a deployment as a list of texts that are joined by commas, with those that nodes do not use
+std::string boundsAsList(unsigned graceSeconds);
+
+/// The same as a table, which the platform renders as a JSON object.
+std::string boundsAsTable(unsigned graceSeconds);
+
 /// A fleet with the platform adapter: nodes as real processes on loopback addresses, one upstream stand-in per node, and a
 /// registry stand-in with the entries of the upstreams and the configuration.
 ///
@@ -336,6 +344,7 @@
     RegistryStandIn registry;
     std::vector<std::unique_ptr<PlatformUpstream>> upstreams; ///< Upstream of each node.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< Process of each node, null before its first start.
+    std::string bounds = boundsAsList(6); ///< Value of `--bounds` from the next start of a node on.
     std::size_t maxBodyBytes = 1024 * 1024; ///< Limit of a request's body in the next configuration, in bytes.
 
 private:
