Read the bounds of the deployment in every form in which they are given

It took the object's parts for names that it does not know, which it ignored, so every node of every deployment ran with the defaults: 6 s of grace, a retry slack of 10 for the fleet, 2 s to apply a change, 3 s to settle.

Names that a node does not use are logged.

--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -135,15 +135,11 @@
 void ProxyNode::logBounds() const
 {
     nlohmann::ordered_json inForce = nlohmann::ordered_json::object();
-    nlohmann::ordered_json defaults = nlohmann::ordered_json::array();
     for (const Platform::NamedBound &bound : this->settings.bounds.inForce) {
         inForce[bound.name] = bound.value;
-        if (!bound.isGiven) {
-            defaults.push_back(bound.name);
-        }
     }
     const nlohmann::ordered_json unused = this->settings.bounds.unused;
-    this->log.info("bounds in force", {{"bounds", &inForce}, {"defaults", &defaults}, {"unused", &unused}});
+    this->log.info("bounds in force", {{"form", this->settings.bounds.form}, {"bounds", &inForce}, {"unused", &unused}});
 }
 
 void ProxyNode::drain(std::string_view signal)
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -344,7 +344,7 @@
     RegistryStandIn registry;
     std::vector<std::unique_ptr<PlatformUpstream>> upstreams; ///< Upstream of each node.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< Process of each node, null before its first start.
-    std::string bounds = boundsAsList(6); ///< Value of `--bounds` from the next start of a node on.
+    std::string bounds = boundsAsTable(6); ///< Value of `--bounds` from the next start of a node on.
     std::size_t maxBodyBytes = 1024 * 1024; ///< Limit of a request's body in the next configuration, in bytes.
 
 private:
