End a leaving node in time when the grace time is short

Cause: a node stops only after the 2.6 s in which its callers learn of the stop, even when its grace time ends before: with less than 2.9 s the process was killed with its requests in progress. The times of the announcement and of late requests are now at most the end of accepting connections.

Evidence: GraceTimeTest::processEndsBeforeItIsKilled with 2 s of grace failed before and passes now; so do the new rows of DrainScheduleTest.

--- a/galenarack/policy/drainschedule.cpp
+++ b/galenarack/policy/drainschedule.cpp
@@ -1,5 +1,7 @@
 #include <galenarack/policy/drainschedule.h>
 
+#include <algorithm>
+
 namespace Galenarack {
 
 namespace {
@@ -25,9 +27,9 @@
 {
     DrainSchedule schedule;
     schedule.started = start;
-    schedule.announced = start + announceTime;
-    schedule.lateFrom = start + lateRequestTime;
     schedule.acceptEnd = start + grace - lastAcceptMargin;
+    schedule.announced = std::min<TimePoint>(start + announceTime, schedule.acceptEnd);
+    schedule.lateFrom = std::min<TimePoint>(start + lateRequestTime, schedule.acceptEnd);
     schedule.exit = start + grace - killMargin;
     schedule.workEnd = schedule.exit - responseMargin;
     return schedule;
--- a/processtests/gracetimetest.cpp
+++ b/processtests/gracetimetest.cpp
@@ -100,6 +100,7 @@
         } table[] = {
             {"list", boundsAsList(4), 4s},
             {"table", boundsAsTable(4), 4s},
+            {"shorter than the announcement of the stop", boundsAsTable(2), 2s},
         };
         for (const auto &row : table) {
             PlatformFleet fleet(nodeCount);
--- a/unittests/drainscheduletest.cpp
+++ b/unittests/drainscheduletest.cpp
@@ -31,12 +31,17 @@
             {"late, short deadline", 6s, 3s, 5s, true},
             {"late in a long grace", 30s, 3s, 15s, true},
             {"grace shorter than the announcement", 2s, 2900ms, 3s, false},
+            {"short grace, early", 2s, 1s, 12s, true},
+            {"short grace, late", 2s, 1200ms, 3s, false},
+            {"late in a grace of ten seconds", 10s, 3s, 9s, true},
         };
         for (const auto &row : table) {
             const DrainSchedule schedule = DrainSchedule::forGrace(start, row.grace);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.mayStart, schedule.mayStart(start + row.deadline, start + row.now));
             CPPUNIT_ASSERT_MESSAGE(row.name, schedule.workEnd < schedule.exit && schedule.exit < start + row.grace);
             CPPUNIT_ASSERT_MESSAGE(row.name, schedule.acceptEnd < schedule.exit);
+            // The node stops only after the announcement, so that one must not last until the kill.
+            CPPUNIT_ASSERT_MESSAGE(row.name, schedule.announced <= schedule.acceptEnd && schedule.lateFrom <= schedule.acceptEnd);
         }
     }
 };
