Keep a leaving node until its responses to other nodes are written

A leaving node that is the home of a request took itself for idle once the run had ended, while the response to the ingress was still being written, or between the grant of a slot and the run. Its process could end then, and the ingress had to answer 502 for work that had run.

The process now also waits for the open calls of other nodes and for bytes that have not been written, at most until its planned end.

--- a/galenarack/peer/peersession.h
+++ b/galenarack/peer/peersession.h
@@ -132,6 +132,12 @@
         return this->streams.size();
     }
 
+    /// @return whether a request is open, or bytes have not been written to the socket yet
+    bool isBusy() const
+    {
+        return this->open && (this->writing || !this->streams.empty());
+    }
+
     /// @return send time of the last PING if no data was received since, otherwise nothing
     std::optional<TimePoint> unansweredPing() const
     {
--- a/galenarack/proxy/peerlinks.cpp
+++ b/galenarack/proxy/peerlinks.cpp
@@ -57,6 +57,14 @@
     this->listener.stop();
 }
 
+bool PeerLinks::isAnswering() const
+{
+    return std::ranges::any_of(this->accepted, [](const std::weak_ptr<PeerSession> &known) {
+        const std::shared_ptr<PeerSession> session = known.lock();
+        return session && session->isBusy();
+    });
+}
+
 void PeerLinks::accept(asio::ip::tcp::socket socket)
 {
     const auto session = std::make_shared<PeerSession>(std::move(socket), PeerSession::Role::Server, this->limits, this->handler);
--- a/galenarack/proxy/peerlinks.h
+++ b/galenarack/proxy/peerlinks.h
@@ -46,6 +46,9 @@
     /// Stops accepting connections.
     void stop();
 
+    /// @return whether a call of another node has not been answered, or its response not been written to the socket yet
+    bool isAnswering() const;
+
     /// @return number of nodes that this node has connected, or tried to connect, to
     std::size_t connectionCount() const
     {
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -199,7 +199,8 @@
     if (now < this->drainSchedule->announced) {
         return;
     }
-    const bool isIdle = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0;
+    const bool isIdle
+        = this->callers.pending() == 0 && this->home.inProgress() == 0 && this->router.inProgress() == 0 && !this->links.isAnswering();
     if (!this->callersStopped && (isIdle || now >= this->drainSchedule->acceptEnd)) {
         this->callersStopped = true;
         this->callers.stop();
