--- a/galenarack/fleet/followersettings.cpp
+++ b/galenarack/fleet/followersettings.cpp
@@ -31,13 +31,13 @@
     FollowerSettings settings;
     // Worst case: the registry returns just after a watch was lost, and a change follows as soon as the bounds hold again. The watch
     // has to fail, and the complete read after it to end, before that change must be in force.
-    const Duration available = bounds.settleTime + bounds.applyTime - rereadTime - replyTimeout;
+    const Duration available = bounds.settleTime + bounds.applyTime() - rereadTime - replyTimeout;
     settings.watchWait = std::clamp(available, minWatchWait, longestWatchWait);
     // A watch fails `settleTime + applyTime` after it was opened at the latest, so one that is older than `applyTime` at the end of a
     // fault fails before the bounds hold again. Until then only probes show that its reply was lost.
-    settings.youngWatchTime = bounds.applyTime;
-    settings.youngProbeInterval = std::min<Duration>(bounds.applyTime / youngProbeCount, settings.probeInterval);
-    settings.batchPause = std::chrono::duration_cast<Duration>(bounds.applyTime * batchPauseShare);
+    settings.youngWatchTime = bounds.applyTime();
+    settings.youngProbeInterval = std::min<Duration>(bounds.applyTime() / youngProbeCount, settings.probeInterval);
+    settings.batchPause = std::chrono::duration_cast<Duration>(bounds.applyTime() * batchPauseShare);
     settings.batchPauseMax = settings.batchPause * maxBatchPauses;
     return settings;
 }
--- a/galenarack/fleet/followersettings.h
+++ b/galenarack/fleet/followersettings.h
@@ -2,14 +2,22 @@
 
 #include <galenarack/core/clock.h>
 
+#include <algorithm>
+
 namespace Galenarack {
 
 /// Bounds of a deployment within which its nodes must follow the registry.
 struct RegistryBounds
 {
-    Duration applyTime = std::chrono::seconds(2); ///< Longest time from the registry's acknowledgement of a change until it is in force.
-    /// Time after the end of a fault of the registry from which `applyTime` holds again.
-    Duration settleTime = std::chrono::seconds(3);
+    Duration drainTime{}; ///< Longest time from the registry's acknowledgement that an upstream leaves until it gets no new work.
+    Duration configTime{}; ///< Longest time from the registry's acknowledgement of a configuration until it is in force.
+    Duration settleTime{}; ///< Time after the end of a fault of the registry from which the other bounds hold again.
+
+    /// @return longest time until any change must be in force
+    Duration applyTime() const
+    {
+        return std::min(this->drainTime, this->configTime);
+    }
 };
 
 /// Intervals and time-outs of a RegistryFollower.
--- a/galenarack/policy/retryallowance.h
+++ b/galenarack/policy/retryallowance.h
@@ -10,9 +10,9 @@
 /// Bound of the whole fleet on the repeats that arrive at one service within a window.
 struct RetryBound
 {
-    double ratio = 0.2; ///< Allowed repeats per request within any window.
-    double slack = 10; ///< Allowed repeats within a window in addition to the ratio, for the whole fleet.
-    Duration window = std::chrono::seconds(10); ///< Length of the sliding window.
+    double ratio = 0; ///< Allowed repeats per request within any window.
+    double slack = 0; ///< Allowed repeats within a window in addition to the ratio, for the whole fleet.
+    Duration window{}; ///< Length of the sliding window.
 };
 
 /// Share of one upstream in a fleet-wide retry bound, kept by its home without shared state: the ratio applies to the requests
--- a/unittests/boundstest.cpp
+++ b/unittests/boundstest.cpp
@@ -68,10 +68,25 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 230.0, bounds->retry.slack);
             CPPUNIT_ASSERT_MESSAGE(row.name, bounds->retry.window == 8s);
             CPPUNIT_ASSERT_MESSAGE(row.name, bounds->terminationGrace == 10s);
-            CPPUNIT_ASSERT_MESSAGE(row.name, bounds->registry.applyTime == 3s);
+            CPPUNIT_ASSERT_MESSAGE(row.name, bounds->registry.drainTime == 3s);
+            CPPUNIT_ASSERT_MESSAGE(row.name, bounds->registry.configTime == 3500ms);
             CPPUNIT_ASSERT_MESSAGE(row.name, bounds->registry.settleTime == 4s);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{7}, bounds->inForce.size());
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{11}, bounds->unused.size());
+            std::string inForce;
+            for (const Platform::NamedBound &bound : bounds->inForce) {
+                inForce += bound.name + "=" + Json(bound.value).dump() + " ";
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name,
+                                         std::string("stable-window-ms=4000.0 drain-ms=3000.0 grace-s=10.0 config-apply-ms=3500.0 "
+                                                     "retry-budget-ratio=0.25 budget-window-s=8.0 budget-slack=230.0 "),
+                                         inForce);
+            std::string unused;
+            for (const std::string &name : bounds->unused) {
+                unused += name + " ";
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name,
+                                         std::string("seed-lag-s reuse-after-s ack-ms catch-up-s loss-slack-ms rollback-slack-ms "
+                                                     "max-skew-ms recovery-s probes-per-s floor-share revoke-strict "),
+                                         unused);
         }
     }
 
--- a/unittests/followersettingstest.cpp
+++ b/unittests/followersettingstest.cpp
@@ -23,18 +23,18 @@
             Duration replyTimeout;
             bool isFeasible; ///< Whether a watch of any length can keep the bounds.
         } table[] = {
-            {"default", {2s, 3s}, 750ms, true},
-            {"grown", {2500ms, 3s}, 750ms, true},
-            {"large", {3s, 4s}, 750ms, true},
-            {"wide", {60s, 60s}, 750ms, true},
-            {"narrow", {500ms, 500ms}, 750ms, false},
+            {"default", {2s, 2s, 3s}, 750ms, true},
+            {"grown", {2500ms, 3s, 3s}, 750ms, true},
+            {"large", {3s, 3s, 4s}, 750ms, true},
+            {"wide", {60s, 60s, 60s}, 750ms, true},
+            {"narrow", {500ms, 600ms, 500ms}, 750ms, false},
         };
         for (const auto &row : table) {
             const FollowerSettings settings = FollowerSettings::forBounds(row.bounds, row.replyTimeout);
             const Duration noticed = settings.watchWait + row.replyTimeout + settings.retryMin;
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, noticed <= row.bounds.settleTime + row.bounds.applyTime);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, noticed <= row.bounds.settleTime + row.bounds.applyTime());
             CPPUNIT_ASSERT_MESSAGE(row.name, settings.watchWait >= 500ms && settings.watchWait <= 30s);
-            CPPUNIT_ASSERT_MESSAGE(row.name, settings.batchPauseMax < row.bounds.applyTime / 2);
+            CPPUNIT_ASSERT_MESSAGE(row.name, settings.batchPauseMax < row.bounds.applyTime() / 2);
             // Two of the three check-ins of 1.5 s after which an entry expires lie within the outage.
             CPPUNIT_ASSERT_MESSAGE(row.name, settings.probeInterval + row.replyTimeout < 3s);
             // A probe in the first time of a watch finds a silent registry, and the complete read ends before the bounds hold again.
@@ -46,7 +46,7 @@
             // After an outage that was noticed, the deferral of removals begins with the first call that succeeds.
             const Duration reached = row.replyTimeout + settings.retryMax;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                row.name, row.isFeasible, reached + settings.removalHoldTime <= row.bounds.settleTime + row.bounds.applyTime);
+                row.name, row.isFeasible, reached + settings.removalHoldTime <= row.bounds.settleTime + row.bounds.applyTime());
         }
     }
 };
