--- a/processtests/gracetimetest.cpp
+++ b/processtests/gracetimetest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 
@@ -34,19 +35,32 @@
     /// the forms in which the platform gives the bounds.
     void requestEndsWithinTheGraceTime()
     {
+        struct Sending
+        {
+            std::chrono::milliseconds at; ///< Time after the signal.
+            bool idempotent;
+            std::chrono::milliseconds deadline;
+        };
         struct Row
         {
             const char *name;
             std::string bounds;
             std::vector<unsigned> leavingNodes;
-            std::chrono::milliseconds sent; ///< When the requests are sent, after the signal; negative: before it.
-            std::chrono::milliseconds deadline;
+            std::chrono::milliseconds signalled; ///< Time of the signal after the start.
+            std::vector<Sending> sendings; ///< In order of their time.
+            std::chrono::milliseconds run; ///< How long each request runs.
         };
         const Row rows[] = {
-            {"list, ingress leaves", boundsAsList(10), {0}, 1000ms, 12000ms},
-            {"table, ingress leaves", boundsAsTable(10), {0}, 1000ms, 12000ms},
-            {"table, home leaves", boundsAsTable(10), {3}, -500ms, 9500ms},
-            {"table, ingress and home leave", boundsAsTable(10), {0, 3}, -500ms, 9500ms},
+            {"list, ingress leaves", boundsAsList(10), {0}, 0ms, {{1000ms, true, 12000ms}, {1000ms, false, 12000ms}}, 7000ms},
+            {"table, ingress leaves", boundsAsTable(10), {0}, 0ms, {{1000ms, true, 12000ms}, {1000ms, false, 12000ms}}, 7000ms},
+            {"table, ingress leaves, late request",
+             boundsAsTable(10),
+             {0},
+             0ms,
+             {{1000ms, false, 12000ms}, {3500ms, true, 5500ms}, {3500ms, false, 5500ms}},
+             4000ms},
+            {"table, home leaves", boundsAsTable(10), {3}, 500ms, {{-500ms, true, 9500ms}, {-500ms, false, 9500ms}}, 7000ms},
+            {"table, ingress and home leave", boundsAsTable(10), {0, 3}, 500ms, {{-500ms, true, 9500ms}, {-500ms, false, 9500ms}}, 7000ms},
         };
         for (const Row &row : rows) {
             PlatformFleet fleet(nodeCount);
@@ -56,27 +70,30 @@
             // All requests run at the upstream of node 3.
             fleet.publishEntry(1, "draining");
             fleet.runFor(3s);
-            fleet.upstreams[3]->behaviour.processingTime = 7s;
+            fleet.upstreams[3]->behaviour.processingTime = row.run;
             std::map<std::string, CallResult> results;
-            const auto sendAll = [&fleet, &results, &row] {
-                start(fleet, results, "GET", "/read/x", "read", row.deadline);
-                start(fleet, results, "POST", "/write/x", "write", row.deadline);
-            };
-            const auto signalAll = [&fleet, &row] {
-                for (const unsigned node : row.leavingNodes) {
-                    fleet.processes[node]->signal(SIGTERM);
+            std::chrono::milliseconds now = 0ms;
+            bool isSignalled = false;
+            const auto runUntilTime = [&](std::chrono::milliseconds time) {
+                if (!isSignalled && row.signalled <= time) {
+                    fleet.runFor(row.signalled - now);
+                    now = row.signalled;
+                    isSignalled = true;
+                    for (const unsigned node : row.leavingNodes) {
+                        fleet.processes[node]->signal(SIGTERM);
+                    }
                 }
+                fleet.runFor(time - now);
+                now = time;
             };
-            if (row.sent < 0ms) {
-                sendAll();
-                fleet.runFor(-row.sent);
-                signalAll();
-            } else {
-                signalAll();
-                fleet.runFor(row.sent);
-                sendAll();
+            for (std::size_t i = 0; i < row.sendings.size(); ++i) {
+                runUntilTime(row.signalled + row.sendings[i].at);
+                const bool idempotent = row.sendings[i].idempotent;
+                const std::string id = (idempotent ? "read" : "write") + std::to_string(i);
+                start(fleet, results, idempotent ? "GET" : "POST", idempotent ? "/read/x" : "/write/x", id, row.sendings[i].deadline);
             }
-            while (results.size() < 2) {
+            runUntilTime(std::max(now, row.signalled));
+            while (results.size() < row.sendings.size()) {
                 fleet.runFor(50ms);
             }
             for (const auto &[id, result] : results) {
@@ -84,12 +101,16 @@
                 CPPUNIT_ASSERT_MESSAGE(context + ": cut", result.end == StandIns::ExchangeEnd::Complete);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200U, result.status);
                 // A request that may be repeated may have been hedged.
-                CPPUNIT_ASSERT_MESSAGE(context, id == "read" || fleet.runCount(id) == 1);
+                CPPUNIT_ASSERT_MESSAGE(context, id.starts_with("read") || fleet.runCount(id) == 1);
+            }
+            fleet.runFor(1s);
+            for (const unsigned node : row.leavingNodes) {
+                CPPUNIT_ASSERT_MESSAGE(row.name + std::string(": process has not ended"), fleet.processes[node]->wait(0ms) == 0);
             }
         }
     }
 
-    /// Guards against a process that plans to end after the platform kills it.
+    /// Guards against a process that plans to end after the platform kills it, and against one that ends long before.
     void processEndsBeforeItIsKilled()
     {
         const struct
@@ -115,8 +136,10 @@
             start(fleet, results, "POST", "/write/x", "write", longTimeout);
             fleet.runFor(500ms);
             fleet.processes[0]->signal(SIGTERM);
-            fleet.runFor(row.grace);
-            CPPUNIT_ASSERT_MESSAGE(row.name, !fleet.processes[0]->isRunning());
+            fleet.runFor(row.grace - 1s);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.processes[0]->isRunning());
+            fleet.runFor(1s);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.processes[0]->wait(0ms) == 0);
         }
     }
 
