Reject bounds without a registry, and a registry without bounds

With a registry and an empty value, as a placeholder without a value gives, the message was that of an unreadable part ("--bounds: : expected NAME=NUMBER").

With the change unittests settingstest passes (5 tests).

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -168,6 +168,9 @@
         return status;
     }
     settings.registry = registry;
+    if (raw.bounds.empty()) {
+        return invalid("bounds", raw.bounds, "the bounds of the deployment, which are required with --registry");
+    }
     auto bounds = Platform::decodeBounds(raw.bounds);
     if (!bounds.ok()) {
         return bounds.status();
@@ -176,6 +179,28 @@
     return absl::OkStatus();
 }
 
+/// Rejects settings that are given and that the node would not use, with a registry or without one.
+absl::Status checkMode(const RawSettings &raw)
+{
+    struct ModeSetting
+    {
+        std::string_view flag;
+        std::string_view value; ///< Empty when the setting is not given.
+        bool usedWithRegistry;
+    };
+    const ModeSetting settings[] = {
+        {"bounds", raw.bounds, true},
+        {"peer_listen_address", raw.peerListenAddress, true},
+    };
+    const bool hasRegistry = !raw.registry.empty();
+    for (const ModeSetting &setting : settings) {
+        if (!setting.value.empty() && setting.usedWithRegistry != hasRegistry) {
+            return invalid(setting.flag, setting.value, hasRegistry ? "no value with --registry" : "no value without --registry");
+        }
+    }
+    return absl::OkStatus();
+}
+
 /// Checks that a node with a registry is the home of exactly one upstream, which has the name of its service.
 absl::Status checkOneHomeUpstream(const RawSettings &raw, const Settings &settings)
 {
@@ -202,9 +227,6 @@
     settings.peerListenAddress = settings.peerAddress;
     if (!raw.peerListenAddress.empty()) {
         status.Update(checkEndpoint("peer_listen_address", raw.peerListenAddress, settings.peerListenAddress));
-        if (raw.registry.empty()) {
-            status.Update(invalid("peer_listen_address", raw.peerListenAddress, "no value without --registry"));
-        }
     }
     status.Update(checkEndpoint("operators_address", raw.operatorsAddress, settings.operatorsAddress));
     status.Update(raw.registry.empty() ? checkEndpoint("config_service", raw.configService, settings.configService)
@@ -231,6 +253,7 @@
     if (settings.peerAddress.address().is_unspecified()) {
         status.Update(invalid("peer_address", raw.peerAddress, "the address by which other nodes reach this one"));
     }
+    status.Update(checkMode(raw));
     if (status.ok()) {
         status = checkOneHomeUpstream(raw, settings);
     }
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -24,6 +24,20 @@
     return raw;
 }
 
+/// Bounds of a deployment with all that a node uses.
+constexpr const char *validBounds
+    = "retry-budget-ratio=0.2,budget-slack=62,budget-window-s=10,grace-s=9,drain-ms=2000,config-apply-ms=2000,stable-window-ms=3000";
+
+RawSettings validRegistrySettings()
+{
+    RawSettings raw = validSettings();
+    raw.configService.clear();
+    raw.registry = "127.0.0.1:18600";
+    raw.bounds = validBounds;
+    raw.homeUpstreams = "donors=127.0.0.11:9001";
+    return raw;
+}
+
 struct Case
 {
     std::string RawSettings::*field;
@@ -81,6 +95,37 @@
     return table;
 }
 
+/// A setting that is valid by itself, and not in its mode.
+struct ModeCase
+{
+    RawSettings (*makeValid)(); ///< Makes valid settings of the mode.
+    void (*change)(RawSettings &raw); ///< Makes the settings invalid.
+    const char *flag; ///< Flag that the error must name.
+    const char *value; ///< Value of the flag in the error.
+    const char *allowed; ///< Part of the allowed values in the error.
+};
+
+const std::vector<ModeCase> &modeCases()
+{
+    static const std::vector<ModeCase> table = {
+        {&validSettings,
+         [](RawSettings &raw) {
+             raw.bounds = validBounds;
+         },
+         "bounds",
+         validBounds,
+         "no value without --registry"},
+        {&validRegistrySettings,
+         [](RawSettings &raw) {
+             raw.bounds.clear();
+         },
+         "bounds",
+         "",
+         "the bounds of the deployment, which are required with --registry"},
+    };
+    return table;
+}
+
 void requireError(const RawSettings &raw, const std::string &flag, const std::string &value, const std::string &allowed)
 {
     const auto settings = checkSettings(raw);
@@ -99,6 +144,7 @@
     CPPUNIT_TEST_SUITE(SettingsTest);
     CPPUNIT_TEST(validSettingsAreAccepted);
     CPPUNIT_TEST(errorsNameFlagValueAndAllowedValues);
+    CPPUNIT_TEST(settingsOfTheOtherModeAreErrors);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST(drainTimeoutIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +166,9 @@
         minimal.peerSeeds.clear();
         minimal.callerAddress = "0.0.0.0:8080";
         CPPUNIT_ASSERT(checkSettings(minimal).ok());
+        const Settings withRegistry = checkSettings(validRegistrySettings()).value();
+        CPPUNIT_ASSERT_EQUAL(18600, int{withRegistry.registry.value().port()});
+        CPPUNIT_ASSERT(withRegistry.bounds.terminationGrace == std::chrono::seconds(9));
     }
 
     /// Guards against a node that starts with an invalid setting, and against an error that names a flag with a valid value.
@@ -132,6 +181,17 @@
         }
     }
 
+    /// Guards against a node that accepts a setting and doesn't use it, or that takes defaults for settings of its deployment.
+    void settingsOfTheOtherModeAreErrors()
+    {
+        for (const ModeCase &row : modeCases()) {
+            RawSettings raw = row.makeValid();
+            CPPUNIT_ASSERT_MESSAGE(row.flag, checkSettings(raw).ok());
+            row.change(raw);
+            requireError(raw, row.flag, row.value, row.allowed);
+        }
+    }
+
     /// Guards against a memory limit that leaves no room for any response, or that overflows.
     void memoryIsBounded()
     {
