--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -191,6 +191,7 @@
     const ModeSetting settings[] = {
         {"bounds", raw.bounds, true},
         {"peer_listen_address", raw.peerListenAddress, true},
+        {"peer_seeds", raw.peerSeeds, false},
     };
     const bool hasRegistry = !raw.registry.empty();
     for (const ModeSetting &setting : settings) {
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -32,7 +32,9 @@
 DEFINE_string(bounds,
               "",
               "Platform: bounds of the deployment, required with --registry: NAME=VALUE,..., a JSON list of such texts or a JSON object");
-DEFINE_string(peer_seeds, "", "Platform: VM=IP,... nodes to query at start, for when the configuration service is unreachable");
+DEFINE_string(peer_seeds,
+              "",
+              "Platform: VM=IP,... nodes to query at start, for when the configuration service is unreachable; without --registry");
 DEFINE_int32(memory_mb, 256, "Behaviour: memory that the process may use, in MB; with --registry, limits the bodies in transit");
 DEFINE_int32(drain_timeout_s, 30, "Behaviour: after SIGTERM the process ends within this many seconds");
 DEFINE_string(log_level, "info", "Behaviour: lowest level that is logged: debug, info, warn or error");
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -35,6 +35,7 @@
     raw.registry = "127.0.0.1:18600";
     raw.bounds = validBounds;
     raw.homeUpstreams = "donors=127.0.0.11:9001";
+    raw.peerSeeds.clear();
     return raw;
 }
 
@@ -122,6 +123,13 @@
          "bounds",
          "",
          "the bounds of the deployment, which are required with --registry"},
+        {&validRegistrySettings,
+         [](RawSettings &raw) {
+             raw.peerSeeds = "vm-2=127.0.0.12";
+         },
+         "peer_seeds",
+         "vm-2=127.0.0.12",
+         "no value with --registry"},
     };
     return table;
 }
