Reject a drain time-out with a registry

It is now an optional that is set only when the flag or its variable is given, since its default can't be told from the same value otherwise.

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -185,13 +185,14 @@
     struct ModeSetting
     {
         std::string_view flag;
-        std::string_view value; ///< Empty when the setting is not given.
+        std::string value; ///< Empty when the setting is not given.
         bool usedWithRegistry;
     };
     const ModeSetting settings[] = {
         {"bounds", raw.bounds, true},
         {"peer_listen_address", raw.peerListenAddress, true},
         {"peer_seeds", raw.peerSeeds, false},
+        {"drain_timeout_s", raw.drainTimeoutSeconds ? std::to_string(*raw.drainTimeoutSeconds) : "", false},
     };
     const bool hasRegistry = !raw.registry.empty();
     for (const ModeSetting &setting : settings) {
@@ -235,8 +236,9 @@
     status.Update(checkHomeUpstreams(raw.homeUpstreams, settings.homeUpstreams));
     status.Update(checkPeerSeeds(raw.peerSeeds, settings.peerSeeds));
     status.Update(checkLogLevel(raw.logLevel, settings.logLevel));
-    if (raw.drainTimeoutSeconds < 1 || raw.drainTimeoutSeconds > maxDrainSeconds) {
-        status.Update(invalid("drain_timeout_s", std::to_string(raw.drainTimeoutSeconds), "1 to 3600 seconds"));
+    const int drainTimeoutSeconds = raw.drainTimeoutSeconds.value_or(defaultDrainTimeoutSeconds);
+    if (drainTimeoutSeconds < 1 || drainTimeoutSeconds > maxDrainSeconds) {
+        status.Update(invalid("drain_timeout_s", std::to_string(drainTimeoutSeconds), "1 to 3600 seconds"));
     }
     constexpr int maxLogLines = 100'000;
     if (raw.logLinesPerSecond < 1 || raw.logLinesPerSecond > maxLogLines) {
@@ -250,7 +252,7 @@
     }
     settings.memoryBytes = static_cast<std::size_t>(std::max(raw.memoryMb, 0)) * megabyte;
     settings.logLinesPerSecond = raw.logLinesPerSecond;
-    settings.drainTimeout = std::chrono::seconds(raw.drainTimeoutSeconds);
+    settings.drainTimeout = std::chrono::seconds(drainTimeoutSeconds);
     if (settings.peerAddress.address().is_unspecified()) {
         status.Update(invalid("peer_address", raw.peerAddress, "the address by which other nodes reach this one"));
     }
--- a/galenarack/node/settings.h
+++ b/galenarack/node/settings.h
@@ -15,6 +15,9 @@
 
 namespace Galenarack {
 
+/// Value of a setting that is not given.
+inline constexpr int defaultDrainTimeoutSeconds = 30;
+
 /// A node to contact before the VM list is known.
 struct PeerSeed
 {
@@ -37,7 +40,8 @@
     Platform::Bounds bounds; ///< Parameters of the deployment; used only with a registry.
     std::vector<HomeUpstream> homeUpstreams;
     std::vector<PeerSeed> peerSeeds;
-    Duration drainTimeout = std::chrono::seconds(30); ///< Maximum time from SIGTERM to the end of the process.
+    /// Maximum time from SIGTERM to the end of the process; with a registry, the grace time in `bounds` applies.
+    Duration drainTimeout = std::chrono::seconds(defaultDrainTimeoutSeconds);
     LogLevel logLevel = LogLevel::Info;
     std::size_t memoryBytes = 256 * 1024 * 1024; ///< Memory that the process may use.
     double logLinesPerSecond = 200; ///< Average rate limit of informational log lines.
@@ -61,7 +65,7 @@
     std::string logLevel;
     int logLinesPerSecond = 200;
     int memoryMb = 256;
-    int drainTimeoutSeconds = 0;
+    std::optional<int> drainTimeoutSeconds; ///< Empty when it is not given.
 };
 
 /// Validates all settings.
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -36,7 +37,9 @@
               "",
               "Platform: VM=IP,... nodes to query at start, for when the configuration service is unreachable; without --registry");
 DEFINE_int32(memory_mb, 256, "Behaviour: memory that the process may use, in MB; with --registry, limits the bodies in transit");
-DEFINE_int32(drain_timeout_s, 30, "Behaviour: after SIGTERM the process ends within this many seconds");
+DEFINE_int32(drain_timeout_s,
+             Galenarack::defaultDrainTimeoutSeconds,
+             "Behaviour: after SIGTERM the process ends within this many seconds; without --registry");
 DEFINE_string(log_level, "info", "Behaviour: lowest level that is logged: debug, info, warn or error");
 
 DEFINE_int32(log_lines_per_s,
@@ -69,6 +72,12 @@
     }
 }
 
+/// @return the value of a flag that was given on the command line or in the environment, or nothing
+std::optional<int> givenValue(const char *flag, int value)
+{
+    return gflags::GetCommandLineFlagInfoOrDie(flag).is_default ? std::nullopt : std::optional(value);
+}
+
 RawSettings settingsFromFlags()
 {
     RawSettings raw;
@@ -87,7 +96,7 @@
     raw.logLevel = FLAGS_log_level;
     raw.logLinesPerSecond = FLAGS_log_lines_per_s;
     raw.memoryMb = FLAGS_memory_mb;
-    raw.drainTimeoutSeconds = FLAGS_drain_timeout_s;
+    raw.drainTimeoutSeconds = givenValue("drain_timeout_s", FLAGS_drain_timeout_s);
     return raw;
 }
 
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -36,6 +36,7 @@
     raw.bounds = validBounds;
     raw.homeUpstreams = "donors=127.0.0.11:9001";
     raw.peerSeeds.clear();
+    raw.drainTimeoutSeconds.reset();
     return raw;
 }
 
@@ -130,6 +131,13 @@
          "peer_seeds",
          "vm-2=127.0.0.12",
          "no value with --registry"},
+        {&validRegistrySettings,
+         [](RawSettings &raw) {
+             raw.drainTimeoutSeconds = 30;
+         },
+         "drain_timeout_s",
+         "30",
+         "no value with --registry"},
     };
     return table;
 }
@@ -172,6 +180,7 @@
         RawSettings minimal = validSettings();
         minimal.homeUpstreams.clear();
         minimal.peerSeeds.clear();
+        minimal.drainTimeoutSeconds.reset();
         minimal.callerAddress = "0.0.0.0:8080";
         CPPUNIT_ASSERT(checkSettings(minimal).ok());
         const Settings withRegistry = checkSettings(validRegistrySettings()).value();
