Reject a memory limit without a registry

--memory_mb limits the bodies in transit of a node with a registry. Nothing of a node with a configuration service reads it: Settings::memoryBytes has no user outside ProxyNode. The flag was validated and then had no effect.

--- a/galenarack/node/settings.cpp
+++ b/galenarack/node/settings.cpp
@@ -191,6 +191,7 @@
     const ModeSetting settings[] = {
         {"bounds", raw.bounds, true},
         {"peer_listen_address", raw.peerListenAddress, true},
+        {"memory_mb", raw.memoryMb ? std::to_string(*raw.memoryMb) : "", true},
         {"peer_seeds", raw.peerSeeds, false},
         {"drain_timeout_s", raw.drainTimeoutSeconds ? std::to_string(*raw.drainTimeoutSeconds) : "", false},
     };
@@ -247,10 +248,11 @@
     constexpr int minMemoryMb = 32;
     constexpr int maxMemoryMb = 1'048'576;
     constexpr std::size_t megabyte = 1024 * 1024;
-    if (raw.memoryMb < minMemoryMb || raw.memoryMb > maxMemoryMb) {
-        status.Update(invalid("memory_mb", std::to_string(raw.memoryMb), "32 to 1048576 MB"));
+    const int memoryMb = raw.memoryMb.value_or(defaultMemoryMb);
+    if (memoryMb < minMemoryMb || memoryMb > maxMemoryMb) {
+        status.Update(invalid("memory_mb", std::to_string(memoryMb), "32 to 1048576 MB"));
     }
-    settings.memoryBytes = static_cast<std::size_t>(std::max(raw.memoryMb, 0)) * megabyte;
+    settings.memoryBytes = static_cast<std::size_t>(std::max(memoryMb, 0)) * megabyte;
     settings.logLinesPerSecond = raw.logLinesPerSecond;
     settings.drainTimeout = std::chrono::seconds(drainTimeoutSeconds);
     if (settings.peerAddress.address().is_unspecified()) {
--- a/galenarack/node/settings.h
+++ b/galenarack/node/settings.h
@@ -15,8 +15,9 @@
 
 namespace Galenarack {
 
-/// Value of a setting that is not given.
+/// Values of settings that are not given.
 inline constexpr int defaultDrainTimeoutSeconds = 30;
+inline constexpr int defaultMemoryMb = 256;
 
 /// A node to contact before the VM list is known.
 struct PeerSeed
@@ -43,7 +44,7 @@
     /// Maximum time from SIGTERM to the end of the process; with a registry, the grace time in `bounds` applies.
     Duration drainTimeout = std::chrono::seconds(defaultDrainTimeoutSeconds);
     LogLevel logLevel = LogLevel::Info;
-    std::size_t memoryBytes = 256 * 1024 * 1024; ///< Memory that the process may use.
+    std::size_t memoryBytes = std::size_t{defaultMemoryMb} * 1024 * 1024; ///< Memory that the process may use; used only with a registry.
     double logLinesPerSecond = 200; ///< Average rate limit of informational log lines.
 };
 
@@ -64,7 +65,7 @@
     std::string peerSeeds;
     std::string logLevel;
     int logLinesPerSecond = 200;
-    int memoryMb = 256;
+    std::optional<int> memoryMb; ///< Empty when it is not given.
     std::optional<int> drainTimeoutSeconds; ///< Empty when it is not given.
 };
 
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -36,7 +36,9 @@
 DEFINE_string(peer_seeds,
               "",
               "Platform: VM=IP,... nodes to query at start, for when the configuration service is unreachable; without --registry");
-DEFINE_int32(memory_mb, 256, "Behaviour: memory that the process may use, in MB; with --registry, limits the bodies in transit");
+DEFINE_int32(memory_mb,
+             Galenarack::defaultMemoryMb,
+             "Behaviour: with --registry, memory that the process may use, in MB; limits the bodies in transit");
 DEFINE_int32(drain_timeout_s,
              Galenarack::defaultDrainTimeoutSeconds,
              "Behaviour: after SIGTERM the process ends within this many seconds; without --registry");
@@ -95,7 +97,7 @@
     raw.peerSeeds = FLAGS_peer_seeds;
     raw.logLevel = FLAGS_log_level;
     raw.logLinesPerSecond = FLAGS_log_lines_per_s;
-    raw.memoryMb = FLAGS_memory_mb;
+    raw.memoryMb = givenValue("memory_mb", FLAGS_memory_mb);
     raw.drainTimeoutSeconds = givenValue("drain_timeout_s", FLAGS_drain_timeout_s);
     return raw;
 }
--- a/unittests/settingstest.cpp
+++ b/unittests/settingstest.cpp
@@ -131,6 +131,13 @@
          "peer_seeds",
          "vm-2=127.0.0.12",
          "no value with --registry"},
+        {&validSettings,
+         [](RawSettings &raw) {
+             raw.memoryMb = 256;
+         },
+         "memory_mb",
+         "256",
+         "no value without --registry"},
         {&validRegistrySettings,
          [](RawSettings &raw) {
              raw.drainTimeoutSeconds = 30;
@@ -186,6 +193,10 @@
         const Settings withRegistry = checkSettings(validRegistrySettings()).value();
         CPPUNIT_ASSERT_EQUAL(18600, int{withRegistry.registry.value().port()});
         CPPUNIT_ASSERT(withRegistry.bounds.terminationGrace == std::chrono::seconds(9));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{256} * 1024 * 1024, withRegistry.memoryBytes);
+        RawSettings withMemory = validRegistrySettings();
+        withMemory.memoryMb = 512;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{512} * 1024 * 1024, checkSettings(withMemory)->memoryBytes);
     }
 
     /// Guards against a node that starts with an invalid setting, and against an error that names a flag with a valid value.
