Log environment variables that name no flag

A variable that begins with GALENARACK_ and names no flag, such as a misspelt one, was skipped in silence. It can't be an error, as the platform sets one of its own for each process. Their names are now in one log line at the start.

UnusedSettingsTest::unusedEnvironmentVariablesAreLogged failed before (no such line within 5 s) and passes now.

--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -7,15 +7,20 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 DEFINE_string(fleet, "", "Identity: name of the fleet; nodes of another fleet are refused");
 DEFINE_string(vm, "", "Identity: name of this VM, unique in the fleet: 1 to 63 letters, digits or '-'");
 DEFINE_string(failure_domain, "", "Identity: failure domain of this VM");
@@ -57,21 +62,33 @@
 
 /// Sets each flag of this program from its environment variable, if that is set: GALENARACK_ and the flag name in capitals.
 /// Ends the process when a value has the wrong type.
-void applyEnvironment()
+/// @return names of the environment variables with this prefix that set no flag
+std::vector<std::string> applyEnvironment()
 {
     std::vector<gflags::CommandLineFlagInfo> flags;
     gflags::GetAllFlags(&flags);
+    std::set<std::string, std::less<>> known;
     for (const gflags::CommandLineFlagInfo &flag : flags) {
         std::string variable(environmentPrefix);
         for (const char c : flag.name) {
             variable.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(c))));
         }
+        known.insert(variable);
         const char *value = std::getenv(variable.c_str());
         if (value != nullptr && gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
             std::cerr << "galenarackd: " << variable << "=" << value << ": expected a value of type " << flag.type << '\n';
             std::exit(exitUsage);
         }
     }
+    std::vector<std::string> unused;
+    for (const char *const *entry = environ; *entry != nullptr; ++entry) {
+        const std::string_view variable(*entry);
+        const std::string_view name = variable.substr(0, variable.find('='));
+        if (name.starts_with(environmentPrefix) && !known.contains(name)) {
+            unused.emplace_back(name);
+        }
+    }
+    return unused;
 }
 
 /// @return the value of a flag that was given on the command line or in the environment, or nothing
@@ -139,7 +156,7 @@
                             "Each flag can also be set by an environment variable: GALENARACK_ and the flag name in capitals;\n"
                             "the command line takes precedence.");
     gflags::SetVersionString("0.1.0");
-    applyEnvironment();
+    const nlohmann::ordered_json unusedVariables = applyEnvironment();
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (argc > 1) {
         std::cerr << "galenarackd: " << argv[1] << ": unexpected argument, only flags are accepted; see --help\n";
@@ -151,6 +168,9 @@
         return exitUsage;
     }
     configureLogging(settings->logLevel, settings->logLinesPerSecond);
+    if (!unusedVariables.empty()) {
+        Log("node").info("environment variables not used", {{"names", &unusedVariables}});
+    }
     std::signal(SIGPIPE, SIG_IGN);
     // Settings are read only at start, so SIGHUP has no effect: a changed settings file applies from the next start.
     std::signal(SIGHUP, SIG_IGN);
