Log that SIGHUP does not read the settings again

The platform sends SIGHUP after a change of the settings. The node ignored the signal without a word, although its settings are words of its command line and apply from the next start only. It now logs each signal. Until the handler is installed the signal is ignored as before, and it has no other effect.

--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -4,8 +4,14 @@
 #include <galenarack/node/settings.h>
 #include <galenarack/proxy/proxynode.h>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
@@ -126,6 +132,21 @@
     return std::mt19937_64(seed);
 }
 
+/// Logs each SIGHUP.
+boost::asio::awaitable<void> logReloadRequests()
+{
+    boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGHUP);
+    const Log log("node");
+    for (;;) {
+        const auto [error, signal] = co_await signals.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (error) {
+            co_return;
+        }
+        log.info("settings not read again",
+                 {{"signal", "SIGHUP"}, {"detail", "settings are read at the start; a restart applies changes"}});
+    }
+}
+
 /// Runs a node until it has left the fleet.
 /// @return false when the node could not start
 template<typename NodeType>
@@ -137,6 +158,7 @@
         std::cerr << "galenarackd: " << messageOf(status) << '\n';
         return false;
     }
+    boost::asio::co_spawn(context, logReloadRequests(), boost::asio::detached);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&node](const boost::system::error_code &error, int) {
         if (!error) {
@@ -172,7 +194,7 @@
         Log("node").info("environment variables not used", {{"names", &unusedVariables}});
     }
     std::signal(SIGPIPE, SIG_IGN);
-    // Settings are read only at start, so SIGHUP has no effect: a changed settings file applies from the next start.
+    // SIGHUP must not end the process before it is handled.
     std::signal(SIGHUP, SIG_IGN);
 
     boost::asio::io_context context(1);
--- a/processtests/unusedsettingstest.cpp
+++ b/processtests/unusedsettingstest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <cstdlib>
 
 using namespace Galenarack;
@@ -14,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(UnusedSettingsTest);
     CPPUNIT_TEST(unusedEnvironmentVariablesAreLogged);
+    CPPUNIT_TEST(reloadSignalIsLogged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +35,20 @@
         CPPUNIT_ASSERT_MESSAGE(line, line.find("\"GALENARACK_MEMORY_MB\"") == std::string::npos);
     }
 
+    /// Guards against a node that ends on SIGHUP, or that keeps its settings without a word.
+    void reloadSignalIsLogged()
+    {
+        PlatformFleet fleet(2);
+        CPPUNIT_ASSERT(fleet.startAll());
+        for (int i = 0; i < 2; ++i) {
+            fleet.processes[0]->signal(SIGHUP);
+            const std::string line = findLine(*fleet.processes[0], "settings not read again");
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(i), !line.empty());
+        }
+        CPPUNIT_ASSERT(fleet.waitUntilReady(0));
+        CPPUNIT_ASSERT(fleet.isServedWithin(0, "/read/", 5s));
+    }
+
 private:
     /// @return the next log line of a node with this message; empty when there is none in time
     static std::string findLine(ChildProcess &node, const std::string &message)
