Reject flags of other commands in galenarackctl

Each command now lists its flags. Environment variables are not checked, as they are set for several commands.

--- a/galenarackctl/command.h
+++ b/galenarackctl/command.h
@@ -31,12 +31,17 @@
     std::string_view name;
     std::string_view arguments; ///< Arguments as shown in the usage text, e.g. "FILE...".
     std::string_view summary; ///< Description in the usage text.
+    std::span<const std::string_view> flags; ///< Flags that it uses, beside those that all commands use.
     ExitCode (*run)(const CommandContext &context);
 };
 
 /// @return all commands, in the order of the usage text
 std::span<const Command> commandTable();
 
+/// @param givenFlags names of the flags on the command line
+/// @return the first of them that another command uses and this one doesn't; empty when there is none
+std::string_view findForeignFlag(const Command &command, std::span<const std::string> givenFlags);
+
 /// Prints `message` to the error stream and returns ExitCode::Usage.
 ExitCode usageError(const CommandContext &context, std::string_view message);
 
--- a/galenarackctl/main.cpp
+++ b/galenarackctl/main.cpp
@@ -49,8 +49,9 @@
 /// Sets flags from the command line. ParseCommandLineFlags() of gflags is not used, because it exits with 1 for an invalid flag, and
 /// 1 is ExitCode::Findings.
 /// @param [in,out] arguments all arguments; reduced to those that are not flags
+/// @param [out] names names of the flags, in the order given
 /// @return an error message; empty on success
-std::string readFlags(std::vector<std::string> &arguments)
+std::string readFlags(std::vector<std::string> &arguments, std::vector<std::string> &names)
 {
     std::vector<std::string> positional;
     for (std::size_t i = 0; i < arguments.size(); ++i) {
@@ -65,6 +66,7 @@
         if (!gflags::GetCommandLineFlagInfo(name.c_str(), &flag)) {
             return "unknown flag " + argument;
         }
+        names.push_back(flag.name);
         std::string value = "true";
         if (equals != std::string::npos) {
             value = argument.substr(equals + 1);
@@ -92,12 +94,17 @@
         return static_cast<int>(ExitCode::Ok);
     }
     std::string error = readEnvironment();
-    error += error.empty() ? readFlags(arguments) : "";
+    std::vector<std::string> flags;
+    error += error.empty() ? readFlags(arguments, flags) : "";
     const std::string name = arguments.empty() ? std::string() : arguments.front();
     const auto command = std::ranges::find(commandTable(), name, &Command::name);
     if (error.empty() && command == commandTable().end()) {
         error = name.empty() ? "a command is needed" : "unknown command " + name;
     }
+    if (error.empty()) {
+        const std::string_view foreign = findForeignFlag(*command, flags);
+        error = foreign.empty() ? "" : name + " does not use --" + std::string(foreign);
+    }
     if (error.empty() && FLAGS_output != "text" && FLAGS_output != "json") {
         error = "--output: allowed: text or json";
     }
