--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -125,7 +125,8 @@
         },
         asio::detached);
     this->log.info("node started",
-                   {{"vm", this->settings.vm},
+                   {{"fleet", this->settings.fleet},
+                    {"vm", this->settings.vm},
                     {"failure_domain", this->settings.failureDomain},
                     {"service", this->settings.homeUpstreams.front().name}});
     this->logBounds();
--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -27,7 +27,7 @@
 
 #include <unistd.h>
 
-DEFINE_string(fleet, "", "Identity: name of the fleet; nodes of another fleet are refused");
+DEFINE_string(fleet, "", "Identity: name of the fleet; nodes of another fleet are refused, but not with --registry");
 DEFINE_string(vm, "", "Identity: name of this VM, unique in the fleet: 1 to 63 letters, digits or '-'");
 DEFINE_string(failure_domain, "", "Identity: failure domain of this VM");
 DEFINE_string(caller_address, "", "Addresses: IP:PORT for callers (HTTP/1.1)");
