--- a/unittests/platformdecodetest.cpp
+++ b/unittests/platformdecodetest.cpp
@@ -116,6 +116,16 @@
                  entry["state"] = 1;
              },
              false},
+            {"no version of its software",
+             [](Json &entry) {
+                 entry.erase("version");
+             },
+             false},
+            {"version of its software of another type",
+             [](Json &entry) {
+                 entry["version"] = 1;
+             },
+             false},
             {"no service",
              [](Json &entry) {
                  entry.erase("service");
