Reject unknown parameters of explain

"explain route /claims metod=POST" was answered as if no method had been asked for: all parameters but `method` of a route were skipped in silence. The reply is now 400 and names the parameter.

ExplainTest::unusedParametersAreErrors failed before (expected 400, got 404: the parameter was not looked at), and passes now.

--- a/galenarack/node/explain.cpp
+++ b/galenarack/node/explain.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string_view>
 
 namespace Galenarack {
 
@@ -137,14 +138,27 @@
     return std::nullopt;
 }
 
+/// @return name of the first parameter that the subject does not use; empty when there is none
+std::string_view findUnusedParameter(const ExplainQuery &query)
+{
+    const auto unused = std::ranges::find_if(query.parameters, [&query](const auto &parameter) {
+        return query.subject != "route" || parameter.first != "method";
+    });
+    return unused == query.parameters.end() ? std::string_view() : unused->first;
+}
+
 } // namespace
 
 OperatorReply explain(const Document *document, std::span<const UpstreamStatus> upstreams, const ExplainQuery &query)
 {
+    constexpr unsigned badRequest = 400;
     constexpr unsigned notFound = 404;
     if (document == nullptr) {
         return {notFound, {{"detail", "no document is in force"}}};
     }
+    if (const std::string_view unused = findUnusedParameter(query); !unused.empty()) {
+        return {badRequest, {{"detail", "unknown parameter '" + std::string(unused) + "': expected none, or method for a route"}}};
+    }
     if (auto body = explainName(*document, upstreams, query)) {
         (*body)["revision"] = document->revision;
         return {200, std::move(*body)};
