Count the repeats of the whole window in the retry allowance

Cause: the ten buckets of the allowance cover 0.9 to 1.0 of the window, so a second burst 9 to 10 s after a first one got the whole allowance again within one window.

An eleventh bucket covers the part of the window before the ten. Its repeats count, its requests do not.

RetryAllowanceTest::countsRepeatsOfWholeWindow failed before.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -19,7 +19,7 @@
 
 std::int64_t RetryAllowance::indexOf(TimePoint now) const
 {
-    return now.time_since_epoch() / (this->bound.window / bucketCount);
+    return now.time_since_epoch() / (this->bound.window / bucketsPerWindow);
 }
 
 RetryAllowance::Bucket &RetryAllowance::bucketAt(TimePoint now)
@@ -39,14 +39,13 @@
 
 double RetryAllowance::remaining(TimePoint now, std::size_t upstreams, double urgency) const
 {
-    const std::int64_t oldest = this->indexOf(now) - static_cast<std::int64_t>(bucketCount) + 1;
+    const std::int64_t oldest = this->indexOf(now) - static_cast<std::int64_t>(bucketsPerWindow);
     double requests = 0;
     double repeats = 0;
     for (const Bucket &bucket : this->buckets) {
-        if (bucket.index >= oldest) {
-            requests += bucket.requests;
-            repeats += bucket.repeats;
-        }
+        // Part of the oldest bucket may lie before the window: its repeats count, its requests don't.
+        requests += bucket.index > oldest ? bucket.requests : 0;
+        repeats += bucket.index >= oldest ? bucket.repeats : 0;
     }
     const double slack = this->bound.slack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
     return urgency * usableShare * (this->bound.ratio * requests + slack) - repeats;
--- a/galenarack/policy/retryallowance.h
+++ b/galenarack/policy/retryallowance.h
@@ -39,7 +39,9 @@
     double remaining(TimePoint now, std::size_t upstreams, double urgency) const;
 
 private:
-    static constexpr std::size_t bucketCount = 10;
+    static constexpr std::size_t bucketsPerWindow = 10;
+    /// A window that starts within a bucket ends within one more.
+    static constexpr std::size_t bucketCount = bucketsPerWindow + 1;
 
     /// Requests and repeats within one tenth of the window.
     struct Bucket
--- a/unittests/retryallowancetest.cpp
+++ b/unittests/retryallowancetest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(RetryAllowanceTest);
     CPPUNIT_TEST(staysBelowFleetBound);
     CPPUNIT_TEST(keepsAllowanceForUrgentWork);
+    CPPUNIT_TEST(countsRepeatsOfWholeWindow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,6 +61,31 @@
         CPPUNIT_ASSERT(allowance.remaining(now, 1, 1.0) > 20);
         CPPUNIT_ASSERT(allowance.remaining(now + 11s, 1, 0.6) > 0);
     }
+
+    /// Guards against a second burst of repeats within the window of a first one that has used up the allowance.
+    void countsRepeatsOfWholeWindow()
+    {
+        const struct
+        {
+            const char *name;
+            Duration firstBurst; ///< Since the start of a tenth of the window.
+            Duration secondBurst; ///< Since the first burst.
+            bool isAllowed;
+        } table[] = {
+            {"soon after the end of a tenth", 950ms, 9100ms, false},
+            {"end of the window", 950ms, 9990ms, false},
+            {"end of the window, from the start of a tenth", 0ms, 9990ms, false},
+            {"after the window", 0ms, 11s, true},
+        };
+        for (const auto &row : table) {
+            RetryAllowance allowance(RetryBound{0.2, 100, 10s});
+            const TimePoint now = TimePoint(1h) + row.firstBurst;
+            while (allowance.remaining(now, 1, 1.0) > 0) {
+                allowance.onRepeat(now);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isAllowed, allowance.remaining(now + row.secondBurst, 1, 1.0) > 0);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryAllowanceTest);
