Grant the slack of the retry bound from one window after the start of a node

Cause: a node that is restarted has lost its count of repeats, and its home granted the whole slack again. After a stop or kill of many nodes while requests fail, the fleet's repeats within one window exceeded the bound.

Until one window after the start only the share that goes with the requests is granted.

RetryAllowanceTest::grantsSlackOncePerWindow failed before.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-RetryAllowance::RetryAllowance(RetryBound bound)
+RetryAllowance::RetryAllowance(RetryBound bound, TimePoint start)
     : bound(bound)
+    , slackStart(start + bound.window)
 {
 }
 
@@ -47,7 +48,8 @@
         requests += bucket.index > oldest ? bucket.requests : 0;
         repeats += bucket.index >= oldest ? bucket.repeats : 0;
     }
-    const double slack = this->bound.slack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
+    const double fleetSlack = now < this->slackStart ? 0 : this->bound.slack;
+    const double slack = fleetSlack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
     return urgency * usableShare * (this->bound.ratio * requests + slack) - repeats;
 }
 
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -117,7 +117,7 @@
     , pool(this->executor, upstream, poolLimits(dialect, responseBytes))
     , queue(initialSlots)
     , grayFilter(NodeClock::now())
-    , repeats(retry)
+    , repeats(retry, NodeClock::now())
 {
 }
 
--- a/unittests/retryallowancetest.cpp
+++ b/unittests/retryallowancetest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(staysBelowFleetBound);
     CPPUNIT_TEST(keepsAllowanceForUrgentWork);
     CPPUNIT_TEST(countsRepeatsOfWholeWindow);
+    CPPUNIT_TEST(grantsSlackOncePerWindow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,7 +26,7 @@
         CPPUNIT_ASSERT(rc::check("the repeats of all homes stay below the bound of the fleet", [] {
             const RetryBound bound{0.2, 62, 10s};
             constexpr std::size_t homes = 9;
-            std::vector<RetryAllowance> allowances(homes, RetryAllowance(bound));
+            std::vector<RetryAllowance> allowances(homes, RetryAllowance(bound, TimePoint()));
             std::deque<TimePoint> requests;
             std::deque<TimePoint> repeats;
             TimePoint now(1h);
@@ -53,7 +54,7 @@
     /// Guards against repeats of less urgent work that use up the allowance of urgent work.
     void keepsAllowanceForUrgentWork()
     {
-        RetryAllowance allowance(RetryBound{0.2, 100, 10s});
+        RetryAllowance allowance(RetryBound{0.2, 100, 10s}, TimePoint());
         const TimePoint now(1h);
         while (allowance.remaining(now, 1, 0.6) > 0) {
             allowance.onRepeat(now);
@@ -78,7 +79,7 @@
             {"after the window", 0ms, 11s, true},
         };
         for (const auto &row : table) {
-            RetryAllowance allowance(RetryBound{0.2, 100, 10s});
+            RetryAllowance allowance(RetryBound{0.2, 100, 10s}, TimePoint());
             const TimePoint now = TimePoint(1h) + row.firstBurst;
             while (allowance.remaining(now, 1, 1.0) > 0) {
                 allowance.onRepeat(now);
@@ -86,6 +87,20 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isAllowed, allowance.remaining(now + row.secondBurst, 1, 1.0) > 0);
         }
     }
+
+    /// Guards against a second use of the slack within a window after a restart, which loses the count of repeats.
+    void grantsSlackOncePerWindow()
+    {
+        const TimePoint start(1h);
+        RetryAllowance allowance(RetryBound{0.2, 100, 10s}, start);
+        CPPUNIT_ASSERT(allowance.remaining(start + 9s, 1, 1.0) <= 0);
+        for (int i = 0; i < 50; ++i) {
+            allowance.onRequest(start + 9s);
+        }
+        const double ofRequests = allowance.remaining(start + 9s, 1, 1.0);
+        CPPUNIT_ASSERT(ofRequests > 0 && ofRequests <= 10);
+        CPPUNIT_ASSERT(allowance.remaining(start + 10s, 1, 1.0) > 40);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryAllowanceTest);
