Leave room for the calls of repeated runs in the retry allowance

Cause: calls that a repeated run makes count as repeats at the services that they go to, but the homes there count them as requests. The share of 0.7 left room for the calls of runs that lost their answer.

The share is 0.5.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Share of the bound that is granted. The rest covers the requests that a repeated run sends on, which count as repeats at the
-/// services that they go to.
-constexpr double usableShare = 0.7;
+/// services that they go to. A request that is run after it was rejected may send on two.
+constexpr double usableShare = 0.5;
 
 } // namespace
 
