Grant a part of the slack of the retry bound from the start

Cause: a home that has just started granted no slack for one window, so for ten seconds after the start of a fleet with little traffic nearly no request was repeated: callers got errors of single upstreams although another was well.

0.4 of the slack is granted at once. With the half of the bound that the process before may have used, the fleet stays below the bound.

--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -10,6 +10,10 @@
 /// services that they go to. A request that is run after it was rejected may send on two.
 constexpr double usableShare = 0.5;
 
+/// Share of the slack that is granted within the first window after the start, so that a fleet that has just started can repeat single
+/// requests although it has counted none yet.
+constexpr double startSlackShare = 0.4;
+
 } // namespace
 
 RetryAllowance::RetryAllowance(RetryBound bound, TimePoint start)
@@ -48,7 +52,7 @@
         requests += bucket.index > oldest ? bucket.requests : 0;
         repeats += bucket.index >= oldest ? bucket.repeats : 0;
     }
-    const double fleetSlack = now < this->slackStart ? 0 : this->bound.slack;
+    const double fleetSlack = this->bound.slack * (now < this->slackStart ? startSlackShare : 1);
     const double slack = fleetSlack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
     return urgency * usableShare * (this->bound.ratio * requests + slack) - repeats;
 }
--- a/galenarack/policy/retryallowance.h
+++ b/galenarack/policy/retryallowance.h
@@ -24,7 +24,8 @@
 {
 public:
     /// @param bound bound of the whole fleet
-    /// @param start start of this process. The slack is granted from one window later on, since the process before may have used it.
+    /// @param start start of this process. Most of the slack is granted from one window later on, since the process before may have
+    ///        used it.
     RetryAllowance(RetryBound bound, TimePoint start);
 
     /// Records a request that reaches the upstream for the first time.
@@ -57,7 +58,7 @@
     std::int64_t indexOf(TimePoint now) const;
 
     RetryBound bound;
-    TimePoint slackStart; ///< Time from which the slack is granted.
+    TimePoint slackStart; ///< Time from which the whole slack is granted.
     std::array<Bucket, bucketCount> buckets{};
 };
 
--- a/unittests/retryallowancetest.cpp
+++ b/unittests/retryallowancetest.cpp
@@ -92,18 +92,26 @@
         }
     }
 
-    /// Guards against a second use of the slack within a window after a restart, which loses the count of repeats.
+    /// Guards against a second use of the slack within a window after a restart, which loses the count of repeats, and against a fleet
+    /// that has just started and repeats nothing.
     void grantsSlackOncePerWindow()
     {
         const TimePoint start(1h);
         RetryAllowance allowance(RetryBound{0.2, 100, 10s}, start);
+        const RetryAllowance ofNine(RetryBound{0.2, 62, 10s}, start);
+        CPPUNIT_ASSERT(ofNine.remaining(start, 9, 1.0) > 0);
+        // The process before may have used its half of the bound, so all that both grant stays below three quarters.
+        constexpr int quarterOfSlack = 25;
+        for (int i = 0; i < quarterOfSlack; ++i) {
+            allowance.onRepeat(start);
+        }
         CPPUNIT_ASSERT(allowance.remaining(start + 9s, 1, 1.0) <= 0);
         for (int i = 0; i < 50; ++i) {
             allowance.onRequest(start + 9s);
         }
         const double ofRequests = allowance.remaining(start + 9s, 1, 1.0);
-        CPPUNIT_ASSERT(ofRequests > 0 && ofRequests <= 10);
-        CPPUNIT_ASSERT(allowance.remaining(start + 10s, 1, 1.0) > 40);
+        CPPUNIT_ASSERT(ofRequests <= 10);
+        CPPUNIT_ASSERT(allowance.remaining(start + 10s, 1, 1.0) > ofRequests + quarterOfSlack);
     }
 
     /// Guards against repeats beyond the bound at a service that is called by runs of another one, when both repeat as often as they may.
