--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -338,6 +338,7 @@
         response.set("Instance-Id", this->id);
         co_return response;
     }
+    const std::size_t arrival = this->arrivals.size();
     this->arrivals.push_back({std::chrono::steady_clock::now(), requestId, this->startTimeMs});
     const bool isFirstArrival = this->arrivedIds.insert(requestId).second;
     if (this->behaviour.rejects || (this->behaviour.rejectsFirstArrivals && isFirstArrival)) {
@@ -345,16 +346,28 @@
         response.set(notRunField, "1");
         co_return response;
     }
+    this->arrivals[arrival].isRun = true;
     ++this->runs[requestId];
     this->callerServices[requestId] = std::string(request["Caller-Service"]);
     const UpstreamBehaviour now = this->behaviour;
+    const Target target(std::string_view(request.target().data(), request.target().size()));
+    const std::string workTime = target.parameter("work-ms");
+    const auto processingTime = workTime.empty() ? now.processingTime : std::chrono::milliseconds(std::stoul(workTime));
     asio::steady_timer timer(this->context);
-    co_await sleepFor(timer, now.processingTime);
+    co_await sleepFor(timer, processingTime / 2);
+    bool isCallDone = true;
+    if (this->call && !target.parameter("calls").empty()) {
+        isCallDone = co_await this->call(requestId);
+    }
+    co_await sleepFor(timer, processingTime - processingTime / 2);
+    this->arrivals[arrival].answered = std::chrono::steady_clock::now();
     if (now.dropsResponses) {
         this->server.close();
         this->server.open();
     }
-    HttpResponse response = this->makeAnswer(request, now.status, "ran " + requestId);
+    std::string body = "ran " + requestId;
+    body.resize(std::max<std::size_t>(body.size(), std::stoul(target.parameter("body-bytes", "0"))), '.');
+    HttpResponse response = this->makeAnswer(request, isCallDone ? now.status : 500, std::move(body));
     response.set("Server-Seal", "seal-" + this->id);
     this->notices[requestId] = {!this->behaviour.limits.empty(), this->behaviour.saysLeaving, this->startTimeMs};
     co_return response;
@@ -460,7 +473,7 @@
                         {"address", this->upstreams[node]->address()},
                         {"zone", node < this->nodeCount / 2 ? "a" : "b"},
                         {"version", "v1"},
-                        {"slots", 4},
+                        {"slots", this->slots},
                         {"state", state},
                         {"cold-remaining-ms", 0},
                         {"born", this->upstreams[node]->startTimeMs},
@@ -546,9 +559,8 @@
 
 bool PlatformFleet::waitUntilReady(unsigned node)
 {
-    const Tcp::endpoint address(asio::ip::make_address(this->vmAddress(node)), static_cast<std::uint16_t>(this->basePort + 2));
     for (int i = 0; i < 200; ++i) {
-        HttpClient client(this->context, address);
+        HttpClient client(this->context, this->operatorsAddress(node));
         HttpRequest request(boost::beast::http::verb::get, "/readyz", 11);
         bool ready = false;
         bool done = false;
@@ -577,6 +589,11 @@
                     : Tcp::endpoint(asio::ip::make_address(this->vmAddress(node)), this->basePort);
 }
 
+Tcp::endpoint PlatformFleet::operatorsAddress(unsigned node) const
+{
+    return {asio::ip::make_address(this->vmAddress(node)), static_cast<std::uint16_t>(this->basePort + 2)};
+}
+
 asio::awaitable<CallResult> PlatformFleet::send(
     unsigned node, std::string method, std::string target, std::string id, std::chrono::milliseconds timeout)
 {
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -154,9 +155,17 @@
 };
 
 /// In-process stand-in for an upstream that uses the platform's protocol and counts the requests that it runs.
+///
+/// Parameters in the query of a request replace the behaviour for this request: `work-ms` is the processing time and `body-bytes` the
+/// minimum size of the body of the response. With `calls`, the upstream makes a call halfway through its work and answers 500 if the
+/// call fails.
 class PlatformUpstream
 {
 public:
+    /// Sends a request from the VM of an upstream while it works on another.
+    /// @return whether the call succeeded
+    using Call = std::function<boost::asio::awaitable<bool>(std::string requestId)>;
+
     /// Starts to listen on a free port.
     /// @param id instance id that requests must carry in Expect-Instance
     /// @param vm IPv4 address to listen on
@@ -169,6 +178,7 @@
     void restart();
 
     UpstreamBehaviour behaviour;
+    Call call; ///< Call that a request with the parameter `calls` makes, may be empty.
     std::int64_t startTimeMs = 1; ///< Start time of the upstream process in its registry entry, in milliseconds.
     /// A request that has arrived, whether or not it is run.
     struct Arrival
@@ -176,6 +186,8 @@
         std::chrono::steady_clock::time_point at;
         std::string requestId;
         std::int64_t startTimeMs = 0; ///< Lifetime of the upstream that received it.
+        bool isRun = false; ///< Whether the upstream ran the request.
+        std::optional<std::chrono::steady_clock::time_point> answered{}; ///< When the upstream finished the work, empty before.
     };
 
     /// What an answer said of the upstream.
@@ -302,6 +314,9 @@
     /// @return address at which a node accepts callers, behind the relay or that of the process itself
     StandIns::Tcp::endpoint callerAddress(unsigned node, bool isDirect) const;
 
+    /// @return address at which a node reports its readiness
+    StandIns::Tcp::endpoint operatorsAddress(unsigned node) const;
+
     /// Applies a fault to a path of a node, for existing connections and, unless `existingOnly`, for new ones.
     void setPathFault(unsigned node, Path path, const StandIns::PathFault &fault, bool existingOnly);
 
@@ -345,6 +360,7 @@
     std::vector<std::unique_ptr<PlatformUpstream>> upstreams; ///< Upstream of each node.
     std::vector<std::unique_ptr<ChildProcess>> processes; ///< Process of each node, null before its first start.
     std::string bounds = boundsAsTable(6); ///< Value of `--bounds` from the next start of a node on.
+    unsigned slots = 4; ///< Slots in the entries that are written from now on.
     std::size_t maxBodyBytes = 1024 * 1024; ///< Limit of a request's body in the next configuration, in bytes.
 
 private:
