Ignore SIGHUP and SIGPIPE from the first line of main on

A SIGHUP 41 ms after a start ended the process with status 129: it was ignored only once the settings had been read. No test: what is left is the time before main, which a test can't tell from it.

--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -174,6 +174,9 @@
 
 int main(int argc, char **argv)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    // SIGHUP must not end the process before it is handled.
+    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage("One node of a galenarack fleet.\n"
                             "Each flag can also be set by an environment variable: GALENARACK_ and the flag name in capitals;\n"
                             "the command line takes precedence.");
@@ -193,9 +196,6 @@
     if (!unusedVariables.empty()) {
         Log("node").info("environment variables not used", {{"names", &unusedVariables}});
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    // SIGHUP must not end the process before it is handled.
-    std::signal(SIGHUP, SIG_IGN);
 
     boost::asio::io_context context(1);
     const bool isStarted = settings->registry ? run<ProxyNode>(context, *settings) : run<Node>(context, *settings);
