--- a/galenarack/policy/retryallowance.cpp
+++ b/galenarack/policy/retryallowance.cpp
@@ -12,7 +12,7 @@
 
 /// Share of the slack that is granted within the first window after the start, so that a fleet that has just started can repeat single
 /// requests although it has counted none yet.
-constexpr double startSlackShare = 0.4;
+constexpr double startSlackShare = 0.25;
 
 } // namespace
 
