--- a/unittests/peerlinkstest.cpp
+++ b/unittests/peerlinkstest.cpp
@@ -70,10 +70,12 @@
             PeerRequest request;
             request.method = "GET";
             request.path = "/";
+            std::size_t received = 0;
             asio::co_spawn(
                 context,
-                [&client, &request]() -> asio::awaitable<void> {
-                    co_await client->request(std::move(request), NodeClock::now() + 10s);
+                [client, &request, &received]() -> asio::awaitable<void> {
+                    const auto response = co_await client->request(std::move(request), NodeClock::now() + testTimeout);
+                    received = response.ok() ? response->body.size() : 0;
                 },
                 asio::detached);
             runUntil(context, [&answered] {
@@ -83,10 +85,14 @@
                 runUntil(context, [&links] {
                     return !links.isAnswering();
                 });
+                runUntil(context, [&received] {
+                    return received > 0;
+                });
             } else {
                 runFor(context, 500ms);
             }
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isAnswering, links.isAnswering());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isRead ? row.bytes : 0, received);
         }
     }
 };
