--- a/galenarack/policy/drainschedule.h
+++ b/galenarack/policy/drainschedule.h
@@ -20,8 +20,11 @@
     }
 
     TimePoint started; ///< When the node began to leave.
-    TimePoint announced; ///< Callers that follow the readiness, and nodes that were declined, send no new work from now on.
-    TimePoint lateFrom; ///< Requests that arrive from now on are from callers that ignore the readiness, or from the upstream on this VM.
+    /// Callers that follow the readiness, and nodes that were declined, send no new work from now on. No later than `acceptEnd`.
+    TimePoint announced;
+    /// Requests that arrive from now on are from callers that ignore the readiness, or from the upstream on this VM. No later than
+    /// `acceptEnd`.
+    TimePoint lateFrom;
     TimePoint workEnd; ///< Work that is sent to an upstream after `lateFrom` ends before this time.
     TimePoint acceptEnd; ///< No further connections are accepted, even if requests keep arriving.
     TimePoint exit; ///< The process ends, whatever is in progress.
