Count admitted repeats against the retry allowance before they are sent

Cause: a home checked the allowance when a repeat was offered, but counted the repeat only when it was sent to the upstream. All repeats that waited for a slot passed on the same value.

--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -236,7 +236,7 @@
         upstreams += entry.service == service ? 1 : 0;
     }
     const bool isUrgent = offer.priority <= urgentPriority;
-    return this->repeats.remaining(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency) > 0;
+    return this->repeats.remaining(now, upstreams, isUrgent ? 1.0 : lowPriorityUrgency) > this->waitingRepeats;
 }
 
 bool HomeService::isHealthyEnough(const Offer &offer, TimePoint now) const
@@ -260,6 +260,12 @@
     if (admission != OfferOutcome::Answered) {
         co_return this->makeNotRunResponse(*offer, admission, retryAfter);
     }
+    bool isSent = false;
+    const std::uint32_t repeat = offer->isRepeat ? 1 : 0;
+    this->waitingRepeats += repeat;
+    const ScopeGuard withdrawn([this, &isSent, repeat] {
+        this->waitingRepeats -= isSent ? 0 : repeat;
+    });
     AdmissionRequest request;
     request.ticket = this->nextTicket++;
     request.route = offer->route;
@@ -271,7 +277,6 @@
     if (waited != OfferOutcome::Answered) {
         co_return this->makeNotRunResponse(*offer, waited, retryAfter);
     }
-    bool isSent = false;
     const ScopeGuard released([this, &isSent, ticket = request.ticket] {
         const TimePoint now = NodeClock::now();
         if (isSent) {
@@ -292,6 +297,7 @@
         co_return this->makeNotRunResponse(*offer, OfferOutcome::Withdrawn, Duration::zero());
     }
     isSent = true;
+    this->waitingRepeats -= repeat;
     co_return co_await this->run(*offer, *call, request.deadline, request.ticket);
 }
 
--- a/galenarack/proxy/homeservice.h
+++ b/galenarack/proxy/homeservice.h
@@ -177,6 +177,7 @@
     TimePoint lastTrial; ///< When the last trial was admitted; set back after a success to allow the next one.
     TimePoint lastLocalFailureStart; ///< Latest start of a request from this VM that failed.
     RetryAllowance repeats; ///< Limits the repeats that the upstream receives.
+    std::uint32_t waitingRepeats = 0; ///< Repeats that were admitted and have not been sent to the upstream.
     MovingShare rejectedShare; ///< Share of the requests that the upstream rejects without running them.
     std::optional<DrainSchedule> drainSchedule; ///< Set while the node is leaving.
     Log log{"home"};
