End the previous process of a node before a test starts the next one

Cause: startNode() started the new process first and killed the previous one only when the pointer was assigned. When the new process bound its addresses before, it ended with 'address in use' and was never ready.

--- a/processtests/support/fleetfixture.cpp
+++ b/processtests/support/fleetfixture.cpp
@@ -140,6 +140,8 @@
         "--config_service=" + this->configProcess->addresses()["listen"][node].get<std::string>(),
     };
     this->nodes[node].reset();
+    // The previous process has to be gone, or the new one may find its addresses in use.
+    this->nodes[node].reset();
     this->nodes[node] = std::make_unique<ChildProcess>(programPath("galenarackd"), flags, this->logFile(vmName(node)));
 }
 
--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -539,6 +539,8 @@
                                                     + (direct == this->upstreamAddresses.end() ? relayed(Path::Upstream) : direct->second),
                                                 "--registry=" + relayed(Path::Registry),
                                                 "--bounds=" + this->bounds};
+    // The previous process has to be gone, or the new one may find its addresses in use.
+    this->processes[node].reset();
     this->processes[node]
         = std::make_unique<ChildProcess>(otherBuild != nullptr ? std::filesystem::path(otherBuild) : programPath("galenarackd"),
                                          arguments,
