Keep a caller's connection while it pauses its reading

Callers saw a response that ended early when they had read nothing for over 3 s: 160768 of 6000000 bytes.

Cause: every connection of a caller had TCP_USER_TIMEOUT of 3 s. The kernel counts data that it can't send into a closed receive window like unacknowledged data, so it closed the connection although the caller acknowledged each probe. The bound of a write is 15 s (transferTimeout).

Change: callers' connections have keep-alive probes only. They end dead connections that wait for a request or a response after 3 s as before; CallerServer::tick() bounds a write by 15 s and an idle connection by idle-timeout-ms. The connections to the store and the configuration service keep the option.

--- a/galenarack/core/socketoptions.cpp
+++ b/galenarack/core/socketoptions.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void detectDeadConnection(boost::asio::ip::tcp::socket &socket)
+void detectDeadPeer(boost::asio::ip::tcp::socket &socket)
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -25,7 +25,12 @@
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds, sizeof(keepAliveIdleSeconds));
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof(keepAliveIntervalSeconds));
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
-    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMs, sizeof(unacknowledgedTimeoutMs));
+}
+
+void detectDeadConnection(boost::asio::ip::tcp::socket &socket)
+{
+    detectDeadPeer(socket);
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMs, sizeof(unacknowledgedTimeoutMs));
 }
 
 } // namespace Galenarack
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -84,7 +84,8 @@
 
 void CallerServer::accept(asio::ip::tcp::socket socket)
 {
-    detectDeadConnection(socket);
+    // tick() bounds the time of a write, so that a caller may pause its reading.
+    detectDeadPeer(socket);
     const auto connection = std::make_shared<Connection>(std::move(socket), this->executor);
     connection->stateSince = NodeClock::now();
     this->connections.push_back(connection);
