Send a hedge only to an upstream that does not run the request yet

Callers of idempotent routes whose run hung waited for its end: the hedge went to the same upstream, used up a repeat and could not answer sooner.

Cause: RequestRouter excluded upstreams only once their attempt had ended. The upstream that runs the request is often the cheapest one for the hedge too, since its report is the latest.

Change: an upstream with an open attempt is not available to the request. If no other upstream is left, no hedge is sent.

--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -331,6 +331,17 @@
     return longestUsefulWait(context.route->targetLatency, context.deadline - now - context.expected);
 }
 
+std::vector<std::string> RequestRouter::unavailableUpstreams(const RequestContext &context)
+{
+    std::vector<std::string> upstreams = context.excluded;
+    for (const auto &attempt : context.attempts) {
+        if (!attempt->done) {
+            upstreams.push_back(attempt->upstream);
+        }
+    }
+    return upstreams;
+}
+
 RequestRouter::Target RequestRouter::chooseTarget(RequestContext &context, bool isHedge)
 {
     const TimePoint now = NodeClock::now();
@@ -344,7 +355,7 @@
     if (context.sentTo.size() >= context.route->maxAttempts) {
         return this->chooseRejectingUpstream(context, now);
     }
-    std::vector<std::string> excluded = context.excluded;
+    std::vector<std::string> excluded = unavailableUpstreams(context);
     for (const DeclinedOffer &declinedOffer : context.declinedOffers) {
         excluded.push_back(declinedOffer.upstream);
     }
@@ -379,7 +390,7 @@
     Target target;
     target.allowUnhealthy = true;
     target.maxQueueWait = this->maxQueueWait(context, now);
-    std::vector<std::string> listed = context.excluded;
+    std::vector<std::string> listed = unavailableUpstreams(context);
     for (const DeclinedOffer &declinedOffer : context.declinedOffers) {
         listed.push_back(declinedOffer.upstream);
     }
@@ -403,7 +414,7 @@
         }
     }
     request.allowUnhealthy = true;
-    target.upstream = this->placement.choose(request, context.excluded, now);
+    target.upstream = this->placement.choose(request, unavailableUpstreams(context), now);
     return target;
 }
 
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -143,6 +143,9 @@
     /// @return false when no further offer can be made
     bool startAttempt(const std::shared_ptr<RequestContext> &context, bool isHedge);
 
+    /// @return ids of the upstreams that the request may not be offered to: excluded ones, and those that have an offer or a run of it
+    static std::vector<std::string> unavailableUpstreams(const RequestContext &context);
+
     Target chooseTarget(RequestContext &context, bool isHedge);
 
     /// Chooses an upstream that has rejected the request before, once the limit on upstreams that receive it is reached.
