Let the first samples replace the assumed duration of a route

Callers of a service that is lightly loaded were all served by one upstream of each failure domain for seconds after a node had started; others got nothing, also one that had just come back.

Cause: the usual duration of a route begins at 0.4 of its target and each sample had a weight of 0.05, so a wrong beginning lasted for about sixty requests. Homes compare their upstream with that duration; an upstream that works in 20 ms instead of the assumed 200 ms reports a slowness of 0.25. One without a report counts with 1, and so looks worse than a queue.

Change: the average gives the first samples the weight of a plain mean, beside half a sample of the assumed duration. One sample raises it by 15% at most, as before.

PlacementTest::learnsDurationsThatDifferFromTheTarget fails with the former average ("much shorter").

--- a/galenarack/policy/durationestimate.h
+++ b/galenarack/policy/durationestimate.h
@@ -9,7 +9,8 @@
 
 namespace Galenarack {
 
-/// Estimates the usual duration of the work of each route by a moving average over successful responses.
+/// Estimates the usual duration of the work of each route by a moving average over successful responses. The first samples have more weight
+/// than later ones.
 class DurationEstimate
 {
 public:
@@ -22,7 +23,13 @@
     void observe(std::string_view route, Duration target, Duration duration);
 
 private:
-    std::map<std::string, double, std::less<>> averageSeconds; ///< Moving average by route, in seconds.
+    struct Average
+    {
+        double seconds = 0; ///< Moving average, in seconds.
+        double samples = 0; ///< Number of samples, with the weight of the first estimate.
+    };
+
+    std::map<std::string, Average, std::less<>> averages; ///< By route.
 };
 
 } // namespace Galenarack
--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(discountsOldReports);
     CPPUNIT_TEST(choosesAmongDeclinedOffers);
     CPPUNIT_TEST(estimatesDurations);
+    CPPUNIT_TEST(learnsDurationsThatDifferFromTheTarget);
     CPPUNIT_TEST(asksNoLimitedUpstreamWithoutRoom);
     CPPUNIT_TEST_SUITE_END();
 
@@ -269,6 +270,32 @@
         CPPUNIT_ASSERT(estimate.usual("r", 800ms) < Duration(120ms));
         CPPUNIT_ASSERT(Duration(320ms) == estimate.usual("other", 800ms));
     }
+
+    /// Guards against a first estimate that outweighs the samples for tens of requests. Upstreams without samples look slow for so long,
+    /// and get nothing.
+    void learnsDurationsThatDifferFromTheTarget()
+    {
+        const struct
+        {
+            const char *name;
+            std::chrono::milliseconds target;
+            std::chrono::milliseconds duration;
+            unsigned samples;
+        } table[] = {
+            {"much shorter", 500ms, 20ms, 8},
+            {"shorter", 500ms, 100ms, 4},
+            {"as usual", 500ms, 200ms, 1},
+            {"longer", 100ms, 400ms, 20},
+        };
+        for (const auto &row : table) {
+            DurationEstimate estimate;
+            for (unsigned i = 0; i < row.samples; ++i) {
+                estimate.observe("r", row.target, row.duration);
+            }
+            const double ratio = std::chrono::duration<double>(estimate.usual("r", row.target)) / row.duration;
+            CPPUNIT_ASSERT_MESSAGE(row.name + (": " + std::to_string(ratio)), ratio > 0.6 && ratio < 1.7);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
