--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(sendsTrialToEjectedUpstream);
     CPPUNIT_TEST(discardsStateOfEarlierRun);
     CPPUNIT_TEST(discountsOldReports);
+    CPPUNIT_TEST(triesUpstreamsWithoutReport);
     CPPUNIT_TEST(choosesAmongDeclinedOffers);
     CPPUNIT_TEST(estimatesDurations);
     CPPUNIT_TEST(learnsDurationsThatDifferFromTheTarget);
@@ -231,6 +232,32 @@
         }
     }
 
+    /// Guards against an upstream that has started or come back and gets no requests because others are known to be healthy.
+    void triesUpstreamsWithoutReport()
+    {
+        const struct
+        {
+            const char *name;
+            bool idempotent;
+            const char *knownDomain; ///< Failure domain of the upstream that is known to be healthy; "a" is that of the node.
+            unsigned least; ///< Fewest of 1000 requests that go to the upstream without a report.
+        } table[] = {
+            {"idempotent, same domain", true, "a", 50},
+            {"idempotent, nearer", true, "b", 900},
+            {"not idempotent, nearer", false, "b", 900},
+        };
+        for (const auto &row : table) {
+            Placement placement("a", std::mt19937_64(7));
+            placement.setEntries(std::vector<UpstreamEntry>{entryOf("known", row.knownDomain), entryOf("new", "a")}, start);
+            placement.report("known", UpstreamLoad{0, 0, 3, 0.005, 1, 0}, start);
+            unsigned tried = 0;
+            for (unsigned i = 0; i < 1000; ++i) {
+                tried += placement.choose(requestOf(row.idempotent), {}, start)->entry.id == "new" ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_MESSAGE(row.name + (": " + std::to_string(tried)), tried >= row.least);
+        }
+    }
+
     /// Guards against a request that is refused because of long queues at healthy upstreams while an upstream that is probably
     /// healthy has free slots, and against non-idempotent work on an upstream that would probably fail it. Both occur under
     /// overload when a third of the upstreams are gray.
