Begin the usual duration of a route with the mean of eight samples

Change: until eight samples the target gives the estimate; then their mean, each bounded by four times the median; later the moving average as before. Only responses with 2xx count at an ingress, since a quick 404 says nothing about the work. Samples are at least 1 ms, the unit of reports, so that the average can't stay at 0.

PlacementTest::learnsDurationsThatDifferFromTheTarget has rows with varied and short samples now; the duration of a response is no longer passed with its target.

--- a/galenarack/policy/admissionqueue.cpp
+++ b/galenarack/policy/admissionqueue.cpp
@@ -133,9 +133,9 @@
     return {slotSeconds / (usageDecaySeconds * std::max(this->slots, 1U)), requests / usageDecaySeconds};
 }
 
-void AdmissionQueue::recordDuration(std::string_view route, Duration target, Duration duration)
+void AdmissionQueue::recordDuration(std::string_view route, Duration duration)
 {
-    this->durations.observe(route, target, duration);
+    this->durations.observe(route, duration);
 }
 
 double AdmissionQueue::valueDensity(const AdmissionRequest &request) const
--- a/galenarack/policy/admissionqueue.h
+++ b/galenarack/policy/admissionqueue.h
@@ -78,8 +78,7 @@
     void withdraw(std::uint64_t ticket, TimePoint now);
 
     /// Records how long the upstream took for a successful request, to estimate the slot time of the route.
-    /// @param target latency target of the route
-    void recordDuration(std::string_view route, Duration target, Duration duration);
+    void recordDuration(std::string_view route, Duration duration);
 
     /// Grants free slots and removes requests that can no longer meet their deadline.
     AdmissionOutcome advance(TimePoint now);
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -473,7 +473,7 @@
     case OfferOutcome::Answered:
         if (status < serverError) {
             this->observe(offer.failureDomain, RequestEvidence::Success, offer.requestId, now);
-            this->queue.recordDuration(offer.route, offer.target, now - started);
+            this->queue.recordDuration(offer.route, now - started);
             // Allow the next trial at once, so that a recovered upstream is reinstated after a few requests.
             this->lastTrial = now - trialInterval;
             const double ratio = std::chrono::duration<double>(now - started)
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -537,8 +537,8 @@
         if (attempt.report->outcome == OfferOutcome::Ejected) {
             this->placement.reportEjected(attempt.upstream, attempt.report->retryAfter, now);
         }
-        if (attempt.report->outcome == OfferOutcome::Answered && attempt.result->status < serverError) {
-            this->durations.observe(context.route->name, context.route->targetLatency, attempt.report->runDuration);
+        if (attempt.report->outcome == OfferOutcome::Answered && attempt.result->status / 100 == 2) {
+            this->durations.observe(context.route->name, attempt.report->runDuration);
         }
     } else if (!attempt.result.ok() && !attempt.cancellation->isRequested() && errorKindOf(attempt.result.status()) != ErrorKind::Timeout) {
         this->placement.reportPathFailure(attempt.upstream, now);
--- a/unittests/admissionqueuetest.cpp
+++ b/unittests/admissionqueuetest.cpp
@@ -165,7 +165,7 @@
             if (end - arrivals[ended].at <= route.target) {
                 results[arrivals[ended].route].late -= 1.0 / counts[arrivals[ended].route];
             }
-            queue.recordDuration(route.name, route.target, route.work);
+            queue.recordDuration(route.name, route.work);
             advance(end);
         }
         const RouteLoad &route = routes[arrivals[ticket].route];
--- a/unittests/placementtest.cpp
+++ b/unittests/placementtest.cpp
@@ -289,38 +289,42 @@
     {
         DurationEstimate estimate;
         CPPUNIT_ASSERT(Duration(320ms) == estimate.usual("r", 800ms));
-        estimate.observe("r", 800ms, 60s);
+        estimate.observe("r", 60s);
         CPPUNIT_ASSERT(estimate.usual("r", 800ms) < Duration(400ms));
         for (int i = 0; i < 200; ++i) {
-            estimate.observe("r", 800ms, 100ms);
+            estimate.observe("r", 100ms);
         }
         CPPUNIT_ASSERT(estimate.usual("r", 800ms) < Duration(120ms));
+        estimate.observe("r", 60s);
+        CPPUNIT_ASSERT(estimate.usual("r", 800ms) < Duration(150ms));
         CPPUNIT_ASSERT(Duration(320ms) == estimate.usual("other", 800ms));
     }
 
-    /// Guards against a first estimate that outweighs the samples for tens of requests. Upstreams without samples look slow for so long,
-    /// and get nothing.
+    /// Guards against a first estimate that outweighs the samples for tens of requests, and against one that a few short or long samples
+    /// distort. Upstreams without samples look slow while the estimate is too long, and get nothing.
     void learnsDurationsThatDifferFromTheTarget()
     {
         const struct
         {
             const char *name;
             std::chrono::milliseconds target;
-            std::chrono::milliseconds duration;
-            unsigned samples;
+            std::vector<std::chrono::milliseconds> samples;
+            std::chrono::milliseconds expected; ///< The estimate may differ from it by a quarter.
         } table[] = {
-            {"much shorter", 500ms, 20ms, 8},
-            {"shorter", 500ms, 100ms, 4},
-            {"as usual", 500ms, 200ms, 1},
-            {"longer", 100ms, 400ms, 20},
+            {"much shorter", 500ms, {20ms, 20ms, 20ms, 20ms, 20ms, 20ms, 20ms, 20ms}, 20ms},
+            {"longer", 100ms, {400ms, 400ms, 400ms, 400ms, 400ms, 400ms, 400ms, 400ms}, 400ms},
+            {"varied", 1000ms, {900ms, 50ms, 300ms, 100ms, 600ms, 150ms, 500ms, 200ms}, 350ms},
+            {"long outlier", 500ms, {9000ms, 20ms, 20ms, 20ms, 20ms, 20ms, 20ms, 20ms}, 27ms},
+            {"three short ones", 1125ms, {1ms, 1ms, 1ms}, 450ms},
+            {"shorter than the unit", 10ms, {0ms, 0ms, 0ms, 0ms, 0ms, 0ms, 0ms, 0ms, 1ms}, 1ms},
         };
         for (const auto &row : table) {
             DurationEstimate estimate;
-            for (unsigned i = 0; i < row.samples; ++i) {
-                estimate.observe("r", row.target, row.duration);
+            for (const auto sample : row.samples) {
+                estimate.observe("r", sample);
             }
-            const double ratio = std::chrono::duration<double>(estimate.usual("r", row.target)) / row.duration;
-            CPPUNIT_ASSERT_MESSAGE(row.name + (": " + std::to_string(ratio)), ratio > 0.6 && ratio < 1.7);
+            const double ratio = std::chrono::duration<double>(estimate.usual("r", row.target)) / row.expected;
+            CPPUNIT_ASSERT_MESSAGE(row.name + (": " + std::to_string(ratio)), ratio > 0.75 && ratio < 1.25);
         }
     }
 };
