Assume a gray probability of 0.03 without a report

0.03 still keeps the cost of an upstream without a report below that of another failure domain for requests that are not idempotent (6 x 0.03 < 0.25).

--- a/galenarack/policy/placement.cpp
+++ b/galenarack/policy/placement.cpp
@@ -10,9 +10,9 @@
 /// Time constant with which the weight of a load report decays.
 constexpr double reportDecaySeconds = 1.0;
 
-/// Probability of being gray that is assumed for an upstream without a recent report. It is less than the share of gray upstreams: their
-/// homes decline offers.
-constexpr double defaultGrayProbability = 0.02;
+/// Probability of being gray that is assumed for an upstream without a recent report. It is less than the share of gray upstreams, or
+/// upstreams that have started or come back would get no requests by which their homes learn their health.
+constexpr double defaultGrayProbability = 0.03;
 
 /// Above this probability of being gray an upstream gets no non-idempotent work, even when no better upstream is left.
 constexpr double maxLastResortGrayProbability = 0.6;
