Keep hedges away from upstreams that reject and run the request

Change: an upstream is unavailable until the result of its attempt has been handled; no hedge is sent once max-attempts upstreams have received the request; galenarack_hedges_total counts hedges that were offered.

--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -320,9 +320,8 @@
 void RequestRouter::startHedge(const std::shared_ptr<RequestContext> &context)
 {
     context->hedged = true;
-    if (this->mayRepeat(*context)) {
+    if (this->mayRepeat(*context) && this->startAttempt(context, true)) {
         this->metrics.countHedge(context->service);
-        this->startAttempt(context, true);
     }
 }
 
@@ -331,11 +330,18 @@
     return longestUsefulWait(context.route->targetLatency, context.deadline - now - context.expected);
 }
 
+bool RequestRouter::hasUnhandledAttempt(const RequestContext &context, std::string_view upstream)
+{
+    return std::ranges::any_of(context.attempts, [upstream](const std::shared_ptr<Attempt> &attempt) {
+        return !attempt->handled && attempt->upstream == upstream;
+    });
+}
+
 std::vector<std::string> RequestRouter::unavailableUpstreams(const RequestContext &context)
 {
     std::vector<std::string> upstreams = context.excluded;
     for (const auto &attempt : context.attempts) {
-        if (!attempt->done) {
+        if (!attempt->handled) {
             upstreams.push_back(attempt->upstream);
         }
     }
@@ -353,7 +359,7 @@
     request.target = context.route->targetLatency;
     request.allowTrial = request.idempotent && !isHedge && context.offers == 0 && context.route->maxAttempts > 1;
     if (context.sentTo.size() >= context.route->maxAttempts) {
-        return this->chooseRejectingUpstream(context, now);
+        return isHedge ? Target() : this->chooseRejectingUpstream(context, now);
     }
     std::vector<std::string> excluded = unavailableUpstreams(context);
     for (const DeclinedOffer &declinedOffer : context.declinedOffers) {
@@ -377,8 +383,8 @@
     target.allowUnhealthy = true;
     for (const std::string &upstream : context.rejectedBy) {
         UpstreamView *candidate = this->placement.find(upstream);
-        if (candidate != nullptr && !candidate->entry.draining && now >= candidate->unreachableUntil
-            && candidate->remainingLimitWait(now) <= target.maxQueueWait) {
+        if (candidate != nullptr && !hasUnhandledAttempt(context, upstream) && !candidate->entry.draining
+            && now >= candidate->unreachableUntil && candidate->remainingLimitWait(now) <= target.maxQueueWait) {
             target.upstream = candidate;
         }
     }
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -143,6 +143,9 @@
     /// @return false when no further offer can be made
     bool startAttempt(const std::shared_ptr<RequestContext> &context, bool isHedge);
 
+    /// @return whether the upstream has an offer or a run of the request whose result has not been handled
+    static bool hasUnhandledAttempt(const RequestContext &context, std::string_view upstream);
+
     /// @return ids of the upstreams that the request may not be offered to: excluded ones, and those that have an offer or a run of it
     static std::vector<std::string> unavailableUpstreams(const RequestContext &context);
 
