End connections whose caller does not read

A caller that pipelines over 64 requests and reads nothing kept its connection for good, also beyond a stop, which then took its whole grace time; and one more request ran per failed write, although no response could be sent. A caller that sends a request now and then put off the bound of a write without end. Found in a review by reading.

Cause: a write that failed left the other requests in the pipeline, which the reader waits for to shrink; and one time stamp served for reading, writing and idleness, so that each request began the time of a write anew.

Change: when no further response can be sent, the pipeline is emptied and what still arrives is not run. Reading, writing and idleness have time stamps of their own.

--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Galenarack {
 
@@ -64,7 +65,9 @@
     bool ended = false; ///< No further request will be read.
     bool closing = false; ///< The last response is being sent; requests received after it are not run.
     bool writing = false; ///< A response is being sent.
-    TimePoint stateSince; ///< Start of the current state: idle, reading or writing.
+    TimePoint readingSince; ///< Start of the request that is being received.
+    TimePoint writingSince; ///< Start of the response that is being sent.
+    TimePoint idleSince; ///< Last time at which a request or a response began or ended.
 };
 
 CallerServer::CallerServer(asio::any_io_executor executor, std::function<CallerLimits()> limits, Handler handler)
@@ -87,7 +90,7 @@
     // tick() bounds the time of a write, so that a caller may pause its reading.
     detectDeadPeer(socket);
     const auto connection = std::make_shared<Connection>(std::move(socket), this->executor);
-    connection->stateSince = NodeClock::now();
+    connection->idleSince = NodeClock::now();
     this->connections.push_back(connection);
     asio::co_spawn(
         this->executor,
@@ -106,7 +109,7 @@
 asio::awaitable<beast::error_code> CallerServer::readRequest(Connection &connection, Parser &parser)
 {
     constexpr std::size_t readSize = 4096;
-    connection.stateSince = NodeClock::now();
+    connection.idleSince = NodeClock::now();
     if (connection.buffer.size() == 0) {
         const auto [error, length] = co_await connection.socket.async_read_some(connection.buffer.prepare(readSize), awaitTuple);
         if (error) {
@@ -115,7 +118,7 @@
         connection.buffer.commit(length);
     }
     connection.reading = true;
-    connection.stateSince = NodeClock::now();
+    connection.readingSince = NodeClock::now();
     const auto [headerError, headerLength] = co_await http::async_read_header(connection.socket, connection.buffer, parser, awaitTuple);
     if (headerError) {
         co_return headerError;
@@ -143,7 +146,7 @@
         parser.body_limit(limits.bodyBytes);
         const beast::error_code error = co_await this->readRequest(*connection, parser);
         connection->reading = false;
-        connection->stateSince = NodeClock::now();
+        connection->idleSince = NodeClock::now();
         if (error) {
             if (isProtocolError(error)) {
                 this->refuse(connection, error);
@@ -235,17 +238,20 @@
             message.body().clear();
         }
         connection->writing = true;
-        connection->stateSince = NodeClock::now();
+        connection->writingSince = NodeClock::now();
         const auto [error, length] = co_await http::async_write(connection->socket, message, awaitTuple);
         connection->writing = false;
-        connection->stateSince = NodeClock::now();
+        connection->idleSince = NodeClock::now();
         connection->pending.pop_front();
         connection->changed.cancel();
         open = !error && keepAlive;
     }
-    for (const auto &pending : std::deque(connection->pending)) {
+    // No further response can be sent, so what is still received must not run, nor wait for room in the pipeline.
+    connection->closing = true;
+    for (const auto &pending : std::exchange(connection->pending, {})) {
         pending->cancellation->request();
     }
+    connection->changed.cancel();
     if (!connection->ended) {
         co_await this->discardUnread(connection);
     }
@@ -281,12 +287,12 @@
 {
     const CallerLimits limits = this->limits();
     for (const auto &connection : this->connections) {
-        const Duration age = now - connection->stateSince;
+        const Duration idle = now - connection->idleSince;
         const bool isIdle = connection->pending.empty() && !connection->reading && !connection->writing;
-        const bool isSlow = connection->reading && age > limits.headerTimeout + transferTimeout;
-        const bool isStuck = connection->writing && age > transferTimeout;
-        const bool isLeftOver = isIdle && this->stoppedAt && std::min(age, now - *this->stoppedAt) > stoppedIdleTime;
-        if ((isIdle && age > limits.idleTimeout) || isLeftOver || isSlow || isStuck) {
+        const bool isSlow = connection->reading && now - connection->readingSince > limits.headerTimeout + transferTimeout;
+        const bool isStuck = connection->writing && now - connection->writingSince > transferTimeout;
+        const bool isLeftOver = isIdle && this->stoppedAt && std::min(idle, now - *this->stoppedAt) > stoppedIdleTime;
+        if ((isIdle && idle > limits.idleTimeout) || isLeftOver || isSlow || isStuck) {
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
         }
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -37,7 +37,8 @@
     /// @return SettingInvalid when the address cannot be bound
     absl::Status listen(const boost::asio::ip::tcp::endpoint &address);
 
-    /// Closes connections that are idle, or slow to send a request, for longer than the limits allow. Call it every 100 ms.
+    /// Closes connections that are idle, or slow to send a request, for longer than the limits allow, and those whose caller takes over
+    /// 15 s to receive a response. Call it every 100 ms.
     void tick(TimePoint now);
 
     /// Called when the node is leaving: from now on each connection is closed after its last pending response.
@@ -47,6 +48,12 @@
     /// time.
     void stop();
 
+    /// @return the local address with the bound port
+    boost::asio::ip::tcp::endpoint address() const
+    {
+        return this->listener.address();
+    }
+
     /// @return number of open connections
     std::size_t connectionCount() const
     {
