--- a/processtests/hedgetest.cpp
+++ b/processtests/hedgetest.cpp
@@ -34,7 +34,7 @@
         for (const auto &row : table) {
             PlatformFleet fleet(row.nodes);
             CPPUNIT_ASSERT(fleet.startAll());
-            // The nodes learn the usual duration first.
+            // The nodes get reports of upstreams first.
             constexpr unsigned usualRequests = 30;
             for (unsigned i = 0; i < usualRequests; ++i) {
                 const unsigned node = i % row.nodes;
