Review case 8: nodes miss a change when their connections to the store go silent

Cause: a watch whose reply is lost is noticed after up to 2.7 s, which is longer than the bound of 2 s.

--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -162,11 +162,23 @@
     }
 }
 
+void Store::silenceOpenConnections()
+{
+    ++this->silences;
+}
+
 void Store::serve(const Socket &socket)
 {
+    const unsigned silencesBefore = this->silences;
     Reader reader(socket);
     Request request;
-    while (reader.read(request) && writeAll(socket, toBytes(this->answer(request)))) { }
+    while (reader.read(request)) {
+        const Response response = this->answer(request);
+        const bool isSilent = this->silences != silencesBefore;
+        if (!isSilent && !writeAll(socket, toBytes(response))) {
+            return;
+        }
+    }
 }
 
 std::string Store::itemText(const std::string &key, const Item &item) const
@@ -236,16 +248,15 @@
         this->serve(*socket);
     }))
 {
-    this->beat();
+    this->writeEntry();
 }
 
-void Backend::beat()
+void Backend::writeEntry()
 {
     this->store.put("servers/" + this->settings.id,
                     R"({"service":")" + this->settings.service + R"(","address":")" + this->settings.address.text() + R"(","zone":")"
                         + this->settings.zone + R"(","version":"v1","slots":)" + std::to_string(this->settings.slots)
-                        + R"(,"state":"ready","cold-remaining-ms":0,"sequence":)" + std::to_string(++this->sequence) + R"(,"born":)"
-                        + std::to_string(this->born) + "}");
+                        + R"(,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":)" + std::to_string(this->born) + "}");
 }
 
 void Backend::serve(const Socket &socket)
@@ -435,16 +446,4 @@
     return false;
 }
 
-void startBeats(const std::vector<std::unique_ptr<Backend>> &backends)
-{
-    std::thread([&backends] {
-        for (;;) {
-            std::this_thread::sleep_for(Milliseconds(1500));
-            for (const auto &backend : backends) {
-                backend->beat();
-            }
-        }
-    }).detach();
-}
-
 } // namespace Review
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -61,6 +61,9 @@
     /// Deletes an item and wakes the watches.
     void remove(const std::string &key);
 
+    /// From now on nothing more is answered on the connections that are open, and nothing resets them. New connections work.
+    void silenceOpenConnections();
+
 private:
     struct Item
     {
@@ -86,6 +89,7 @@
     std::map<std::string, Item> items;
     std::vector<Event> events;
     std::uint64_t revision = 100;
+    std::atomic<unsigned> silences = 0;
     std::unique_ptr<Server> server;
 };
 
@@ -118,9 +122,6 @@
     /// @param observer called when a request has arrived, before it is worked on
     Backend(BackendSettings settings, Store &store, Behaviour behaviour, Observer observer);
 
-    /// Writes the entry; called every heartbeat.
-    void beat();
-
     const BackendSettings &about() const
     {
         return this->settings;
@@ -130,12 +131,14 @@
     void serve(const Socket &socket);
     Response answer(const Request &request);
 
+    /// Writes the entry. It changes when more than its sequence changes, so that a heartbeat is no change.
+    void writeEntry();
+
     BackendSettings settings;
     Store &store;
     Behaviour behaviour;
     Observer observer;
     std::int64_t born;
-    std::uint64_t sequence = 0;
     std::atomic<unsigned> running = 0;
     std::unique_ptr<Server> server;
 };
@@ -237,9 +240,6 @@
 /// @return false after 15 s
 bool waitUntilReady(const std::vector<std::unique_ptr<Node>> &nodes);
 
-/// Writes the entries of all servers every 1.5 s until the process ends.
-void startBeats(const std::vector<std::unique_ptr<Backend>> &backends);
-
 /// Bounds of a small deployment, as the platform gives them.
 extern const char *const smallBounds;
 
--- a/review/standins-2/smallfleet.cpp
+++ b/review/standins-2/smallfleet.cpp
@@ -78,7 +78,6 @@
         this->backends.push_back(std::make_unique<Backend>(backend, *this->store, behaviour, observer));
         this->machines.push_back(std::move(machine));
     }
-    startBeats(this->backends);
 }
 
 void SmallFleet::configure(unsigned version, const std::vector<Route> &routes, const std::vector<std::string> &services)
--- a/review/standins-2/smallfleet.h
+++ b/review/standins-2/smallfleet.h
@@ -43,6 +43,11 @@
     /// Writes a configuration; its acknowledgement is the return.
     void configure(unsigned version, const std::vector<Route> &routes, const std::vector<std::string> &services);
 
+    Store &platformStore()
+    {
+        return *this->store;
+    }
+
     /// Starts the nodes and waits until they are ready.
     /// @return false after 15 s
     bool start();
