--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -36,7 +36,7 @@
     std::map<std::string, std::string> ranBy; // Service that ran a request, by its id.
     const auto observe = [&](const Backend &backend, const Request &request, const Reply &) {
         const std::string id = request.fields.find("Request-Id");
-        record.line("run id=" + id + " server=" + backend.about().id + " service=" + backend.about().service);
+        record.line("run id=" + id + " server=" + backend.id() + " service=" + backend.about().service);
         const std::lock_guard lock(mutex);
         ranBy[id] = backend.about().service;
     };
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -238,6 +238,50 @@
     }
 }
 
+Relay::Relay(const Address &address, Address target)
+    : target(std::move(target))
+    , server(std::make_unique<Server>(address, [this](const std::shared_ptr<Socket> &socket) {
+        this->serve(*socket);
+    }))
+{
+}
+
+void Relay::cut()
+{
+    this->isCut = true;
+    ++this->cuts;
+}
+
+void Relay::heal()
+{
+    this->isCut = false;
+}
+
+void Relay::serve(const Socket &socket)
+{
+    // A connection that was opened during a cut counts as one of before it.
+    const unsigned cutsBefore = this->cuts - (this->isCut ? 1 : 0);
+    const Socket store = connectTo(this->target);
+    std::thread answers([&] {
+        this->pass(store, socket, cutsBefore);
+    });
+    this->pass(socket, store, cutsBefore);
+    answers.join();
+}
+
+void Relay::pass(const Socket &from, const Socket &to, unsigned cutsBefore) const
+{
+    std::array<char, 16 * 1024> bytes{};
+    ssize_t length = 0;
+    while ((length = recv(from.handle(), bytes.data(), bytes.size(), 0)) > 0) {
+        if (this->cuts == cutsBefore && !writeAll(to, {bytes.data(), static_cast<std::size_t>(length)})) {
+            break;
+        }
+    }
+    shutdown(from.handle(), SHUT_RDWR);
+    shutdown(to.handle(), SHUT_RDWR);
+}
+
 Backend::Backend(BackendSettings settings, Store &store, Behaviour behaviour, Observer observer)
     : settings(std::move(settings))
     , store(store)
@@ -251,9 +295,26 @@
     this->writeEntry();
 }
 
+std::string Backend::id() const
+{
+    return this->settings.name + "-" + std::to_string(this->lifetime);
+}
+
+void Backend::leave()
+{
+    this->store.remove("servers/" + this->id());
+}
+
+void Backend::startAgain()
+{
+    ++this->lifetime;
+    this->born = unixMilliseconds();
+    this->writeEntry();
+}
+
 void Backend::writeEntry()
 {
-    this->store.put("servers/" + this->settings.id,
+    this->store.put("servers/" + this->id(),
                     R"({"service":")" + this->settings.service + R"(","address":")" + this->settings.address.text() + R"(","zone":")"
                         + this->settings.zone + R"(","version":"v1","slots":)" + std::to_string(this->settings.slots)
                         + R"(,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":)" + std::to_string(this->born) + "}");
@@ -270,13 +331,13 @@
 {
     Response response;
     response.fields.add("Request-Id", request.fields.find("Request-Id"));
-    response.fields.add("Instance-Id", this->settings.id);
+    response.fields.add("Instance-Id", this->id());
     if (request.target == "/healthz") {
         response.status = 200;
         return response;
     }
     const std::string expected = request.fields.find("Expect-Instance");
-    if (!expected.empty() && expected != this->settings.id) {
+    if (!expected.empty() && expected != this->id()) {
         response.status = 421;
         response.fields.add("Not-Executed", "1");
         return response;
@@ -290,7 +351,7 @@
     response.status = reply.status;
     if (reply.isRun) {
         response.fields.add("Server-Seal", "seal." + request.fields.find("Request-Id"));
-        response.body = "run by " + this->settings.id;
+        response.body = "run by " + this->id();
     } else {
         response.fields.add("Not-Executed", "1");
     }
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -93,6 +93,25 @@
     std::unique_ptr<Server> server;
 };
 
+/// Passes the connections of one machine on to the store. A cut drops what both ends send and resets nothing; connections that were open
+/// or opened during a cut stay silent after it.
+class Relay
+{
+public:
+    Relay(const Address &address, Address target);
+    void cut();
+    void heal();
+
+private:
+    void serve(const Socket &socket);
+    void pass(const Socket &from, const Socket &to, unsigned cutsBefore) const;
+
+    Address target;
+    std::atomic<bool> isCut = false;
+    std::atomic<unsigned> cuts = 0;
+    std::unique_ptr<Server> server;
+};
+
 /// How a server answers one request.
 struct Reply
 {
@@ -104,7 +123,7 @@
 /// Settings of a server.
 struct BackendSettings
 {
-    std::string id;
+    std::string name; ///< First part of its ids.
     std::string service;
     Address address;
     std::string zone;
@@ -122,6 +141,15 @@
     /// @param observer called when a request has arrived, before it is worked on
     Backend(BackendSettings settings, Store &store, Behaviour behaviour, Observer observer);
 
+    /// Deletes the entry without a notice. The server goes on to serve for a while.
+    void leave();
+
+    /// Starts the next lifetime of the server, under another id.
+    void startAgain();
+
+    /// @return id of the present lifetime
+    std::string id() const;
+
     const BackendSettings &about() const
     {
         return this->settings;
@@ -135,10 +163,11 @@
     void writeEntry();
 
     BackendSettings settings;
+    std::atomic<unsigned> lifetime = 1;
     Store &store;
     Behaviour behaviour;
     Observer observer;
-    std::int64_t born;
+    std::atomic<std::int64_t> born;
     std::atomic<unsigned> running = 0;
     std::unique_ptr<Server> server;
 };
--- a/review/standins-2/smallfleet.cpp
+++ b/review/standins-2/smallfleet.cpp
@@ -59,19 +59,22 @@
 {
     const std::vector<std::string> zones = {"kl-a", "kl-b", "kl-c"};
     const std::string storeIp = "127.0.44.100";
-    std::vector<std::string> ips = {storeIp};
+    const std::string relayIp = "127.0.44.101";
+    std::vector<std::string> ips = {storeIp, relayIp};
+    const std::size_t firstMachine = ips.size();
     for (std::size_t i = 0; i < services.size(); ++i) {
         ips.push_back("127.0.44." + std::to_string(i + 1));
     }
     const Ports ports = findFreePorts(ips);
     this->store = std::make_unique<Store>(Address{storeIp, ports.store});
+    this->relay = std::make_unique<Relay>(Address{relayIp, ports.store}, Address{storeIp, ports.store});
     for (std::size_t i = 0; i < services.size(); ++i) {
         NodeSettings machine;
         machine.name = "sidecar-" + std::to_string(i + 1);
-        machine.ip = ips[i + 1];
+        machine.ip = ips[firstMachine + i];
         machine.zone = zones[i % zones.size()];
         machine.service = services[i];
-        machine.store = {storeIp, ports.store};
+        machine.store = {i == 0 ? relayIp : storeIp, ports.store};
         machine.ports = ports;
         machine.bounds = smallBounds;
         const BackendSettings backend{"i-" + std::to_string(i + 1), services[i], {machine.ip, ports.app}, machine.zone, slots};
--- a/review/standins-2/smallfleet.h
+++ b/review/standins-2/smallfleet.h
@@ -48,6 +48,17 @@
         return *this->store;
     }
 
+    /// @return the path from the first machine to the store
+    Relay &firstMachinesPath()
+    {
+        return *this->relay;
+    }
+
+    Backend &backend(std::size_t index)
+    {
+        return *this->backends.at(index);
+    }
+
     /// Starts the nodes and waits until they are ready.
     /// @return false after 15 s
     bool start();
@@ -69,6 +80,7 @@
     std::string logFolder;
     std::vector<NodeSettings> machines;
     std::unique_ptr<Store> store;
+    std::unique_ptr<Relay> relay;
     std::vector<std::unique_ptr<Backend>> backends;
     std::vector<std::unique_ptr<Node>> nodes;
 };
