--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,4 +1,4 @@
-/// Case 7: a change of weights that ends a service's share, and the requests that its nodes send it all the same.
+/// Case 7: a machine is cut off from the store for some seconds, and the server beside it leaves meanwhile.
 
 #include "../standins-2/smallfleet.h"
 
@@ -6,24 +6,24 @@
 
 namespace {
 
-constexpr unsigned routeCount = 4;
+/// Bounds of the deployment.
+constexpr Milliseconds stableWindow(3000);
+constexpr Milliseconds drainTime(2000);
 
-/// Bound config-apply-ms of the deployment, and what a judge on the same machine may measure late.
-constexpr Milliseconds applyTime(2000);
-constexpr Milliseconds afterApply(1000);
+/// Length of a cut, and when in it the server leaves.
+constexpr Milliseconds cutTime(4000);
+constexpr Milliseconds leaveAfter(1500);
 
-std::vector<Route> routes(unsigned oldWeight, unsigned newWeight)
-{
-    std::vector<Route> list;
-    for (unsigned i = 0; i < routeCount; ++i) {
-        Route route;
-        route.host = "host" + std::to_string(i) + ".example";
-        route.prefix = "/claims/";
-        route.shares = {{"old", oldWeight}, {"new", newWeight}};
-        list.push_back(route);
-    }
-    return list;
-}
+/// Time for which the clients go on after the machine is in touch again, and until the next round.
+constexpr Milliseconds watchTime(1500);
+constexpr Milliseconds settleTime(1500);
+
+/// Time by which a judge on the same machine may be late.
+constexpr Milliseconds margin(50);
+
+constexpr unsigned roundCount = 6;
+constexpr unsigned clientCount = 3;
+constexpr Milliseconds sendInterval(30);
 
 } // namespace
 
@@ -31,55 +31,88 @@
 {
     const std::string folder = arguments[1];
     Record record(folder + "/record.txt");
-    const std::string logs = makeTemporaryFolder();
     std::mutex mutex;
-    std::map<std::string, std::string> ranBy; // Service that ran a request, by its id.
-    const auto observe = [&](const Backend &backend, const Request &request, const Reply &) {
-        const std::string id = request.fields.find("Request-Id");
-        record.line("run id=" + id + " server=" + backend.id() + " service=" + backend.about().service);
-        const std::lock_guard lock(mutex);
-        ranBy[id] = backend.about().service;
-    };
-    unsigned broken = 0;
+    std::map<std::string, Clock::time_point> sentAt; // Requests of the clients on the first machine, by id.
+    std::map<std::string, std::pair<std::string, Clock::time_point>> runs; // Server that ran a request, and when it arrived, by id.
     SmallFleet fleet(
-        {"old", "old", "old", "new", "new", "new"},
+        {"lodging", "lodging", "lodging"},
         3,
         [](const Backend &, const Request &) {
             return Reply();
         },
-        observe,
-        logs);
-    const std::vector<std::string> services = {"old", "new"};
-    fleet.configure(1, routes(100, 0), services);
+        [&](const Backend &backend, const Request &request, const Reply &) {
+            const std::string id = request.fields.find("Request-Id");
+            const std::lock_guard lock(mutex);
+            runs[id] = {backend.id(), Clock::now()};
+            record.line("run id=" + id + " server=" + backend.id());
+        },
+        makeTemporaryFolder());
+    Route route;
+    route.host = "claims.example";
+    route.prefix = "/claims/";
+    route.kind = "unsafe";
+    route.shares = {{"lodging"}};
+    fleet.configure(1, {route}, {"lodging"});
     if (!fleet.start()) {
         fleet.finish(exitNotRun);
     }
-    record.line("config version=1 old=100 new=0 acknowledged");
-    std::this_thread::sleep_for(Milliseconds(3500));
-    fleet.configure(2, routes(50, 50), services);
-    record.line("config version=2 old=50 new=50 acknowledged");
-    std::this_thread::sleep_for(Milliseconds(3500));
-    if (hasTrouble()) {
-        fleet.configure(3, routes(0, 100), services);
-        record.line("config version=3 old=0 new=100 acknowledged");
+    std::this_thread::sleep_for(stableWindow + Milliseconds(500));
+    for (unsigned i = 0; i < clientCount; ++i) {
+        std::thread([&] {
+            Client client(fleet.node(0).callers());
+            for (;;) {
+                Request request;
+                const std::string id = newRequestId();
+                request.method = "POST";
+                request.target = "/claims/new";
+                request.fields.add("Host", "claims.example");
+                request.fields.add("Request-Id", id);
+                request.fields.add("Deadline-Ms", "3000");
+                request.body = "claim";
+                {
+                    const std::lock_guard lock(mutex);
+                    sentAt[id] = Clock::now();
+                    record.line("sent id=" + id);
+                }
+                const Client::Result result = client.send(request, Milliseconds(4000));
+                record.line("answered id=" + id + " status=" + std::to_string(result.response.status));
+                std::this_thread::sleep_for(sendInterval);
+            }
+        }).detach();
     }
-    std::this_thread::sleep_for(applyTime + afterApply);
-    for (std::size_t i = 0; i < fleet.size(); ++i) {
-        for (unsigned j = 0; j < routeCount; ++j) {
-            Client client(fleet.node(i).callers());
-            Request request;
-            const std::string id = newRequestId();
-            request.target = "/claims/7";
-            request.fields.add("Host", "host" + std::to_string(j) + ".example");
-            request.fields.add("Request-Id", id);
-            request.fields.add("Deadline-Ms", "3000");
-            record.line("sent id=" + id + " node=" + fleet.node(i).about().name + " host=host" + std::to_string(j));
-            const Client::Result result = client.send(request, Milliseconds(4000));
+
+    unsigned broken = 0;
+    for (unsigned round = 0; round < roundCount; ++round) {
+        const std::string leaving = fleet.backend(0).id();
+        if (hasTrouble()) {
+            fleet.firstMachinesPath().cut();
+            record.line("machine 1 is cut off from the store");
+        }
+        std::this_thread::sleep_for(leaveAfter);
+        fleet.backend(0).leave();
+        const auto left = Clock::now();
+        record.line("server " + leaving + " leaves: entry deleted, acknowledged");
+        std::this_thread::sleep_for(cutTime - leaveAfter);
+        fleet.firstMachinesPath().heal();
+        const auto healed = Clock::now();
+        record.line("machine 1 reaches the store again");
+        std::this_thread::sleep_for(stableWindow + watchTime);
+        {
             const std::lock_guard lock(mutex);
-            record.line("answered id=" + id + " status=" + std::to_string(result.response.status) + " by=" + ranBy[id]);
-            broken += hasTrouble() && ranBy[id] == "old" ? 1 : 0;
+            const auto bound = std::max(healed + stableWindow, left + drainTime) + margin;
+            for (const auto &[id, run] : runs) {
+                if (run.first == leaving && run.second > bound && sentAt[id] > healed + stableWindow) {
+                    ++broken;
+                    record.line("late id=" + id + " server=" + leaving + " ms_after_acknowledgement="
+                                + std::to_string(std::chrono::duration_cast<Milliseconds>(run.second - left).count())
+                                + " ms_after_cut=" + std::to_string(std::chrono::duration_cast<Milliseconds>(run.second - healed).count()));
+                }
+            }
         }
+        fleet.backend(0).startAgain();
+        record.line("server " + fleet.backend(0).id() + " starts");
+        std::this_thread::sleep_for(settleTime);
     }
-    record.line("requests that the service without a share ran: " + std::to_string(broken));
+    record.line("requests that reached a server later than the bound: " + std::to_string(broken));
     fleet.finish(broken > 0 ? exitBroken : exitHeld);
 }
