Log when an outage of the registry may have ended

Cause: `registry reached` did not tell how much of a late removal is the deferral and how much the time until the node asked the registry again.

Change: the line has the ages of the last reply and of the start of the last failed probe. No change of behaviour.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -101,9 +101,12 @@
     const ScopeGuard finished([this] {
         this->probing = false;
     });
+    const TimePoint start = NodeClock::now();
     const auto position = co_await this->client.probe();
     if (position.ok()) {
         this->revisions.onHeard(*position, NodeClock::now());
+    } else {
+        this->lastFailedProbe = start;
     }
     co_return position.status();
 }
@@ -316,8 +319,14 @@
 {
     const TimePoint now = NodeClock::now();
     if (!this->contact) {
+        const auto age = [now](TimePoint time) {
+            return time == TimePoint() ? std::int64_t(-1) : toMilliseconds(TimePoint(now - time));
+        };
         this->log.info("registry reached",
-                       {{"failures", static_cast<std::int64_t>(this->consecutiveFailures)}, {"outage", this->outage ? "yes" : "no"}});
+                       {{"failures", static_cast<std::int64_t>(this->consecutiveFailures)},
+                        {"outage", this->outage ? "yes" : "no"},
+                        {"last_reply_ms", age(this->lastReply)},
+                        {"last_failed_probe_ms", age(this->lastFailedProbe)}});
         if (this->synchronized && this->outage) {
             this->holdRemovalsUntil = now + this->settings.removalHoldTime;
         }
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -100,6 +100,7 @@
     bool probing = false; ///< Whether a probe is in progress.
     bool outage = false; ///< Whether the registry has been unavailable since the last successful call.
     TimePoint lastReply; ///< Time of the last successful call.
+    TimePoint lastFailedProbe; ///< Start of the last probe that failed.
     unsigned consecutiveFailures = 0;
     unsigned lostHistories = 0; ///< Consecutive watches whose changes were no longer in the history.
     unsigned busyWatchCount = 0; ///< Consecutive watches that found changes waiting.
