End deferred removals before the bounds of the deployment hold again

Cause: removals were deferred for 2.2 s from when the node reaches the registry, up to 2 s after the end of the outage. The bounds count from that end.

Change: a deferral ends 0.95 of stable-window-ms after the earliest end of the outage at the latest, which is the start of the last probe that failed. Probes in an outage overlap, so that this is close to the end.

Why it works: a probe that starts after the end succeeds, so the earliest end is never later than the end, whatever the bounds and whatever the node's delay.

--- a/galenarack/fleet/followersettings.cpp
+++ b/galenarack/fleet/followersettings.cpp
@@ -21,6 +21,15 @@
 /// Shortest time that a watch is held, so that narrow bounds of a deployment do not lead to a call without a pause.
 constexpr Duration minWatchWait = std::chrono::milliseconds(500);
 
+/// Share of the time until the bounds hold again that is left for applying deferred removals.
+constexpr double removalSlackShare = 0.05;
+
+/// Time between two probes in an outage, as a share of the same time.
+constexpr double outageProbeShare = 0.1;
+
+constexpr Duration minOutageProbeInterval = std::chrono::milliseconds(200);
+constexpr Duration maxOutageProbeInterval = std::chrono::seconds(1);
+
 /// Longest time that the registry holds a watch.
 constexpr Duration longestWatchWait = std::chrono::seconds(30);
 
@@ -39,6 +48,9 @@
     settings.youngProbeInterval = std::min<Duration>(bounds.applyTime() / youngProbeCount, settings.probeInterval);
     settings.batchPause = std::chrono::duration_cast<Duration>(bounds.applyTime() * batchPauseShare);
     settings.batchPauseMax = settings.batchPause * maxBatchPauses;
+    settings.removalHoldLimit = std::chrono::duration_cast<Duration>(bounds.settleTime * (1.0 - removalSlackShare));
+    const auto interval = std::chrono::duration_cast<Duration>(bounds.settleTime * outageProbeShare);
+    settings.outageProbeInterval = std::clamp(interval, minOutageProbeInterval, maxOutageProbeInterval);
     return settings;
 }
 
--- a/galenarack/fleet/followersettings.h
+++ b/galenarack/fleet/followersettings.h
@@ -45,9 +45,14 @@
     Duration batchPauseMax = std::chrono::milliseconds(900);
     Duration retryMin = std::chrono::milliseconds(250); ///< Back-off after the first failed call; doubles with each consecutive failure.
     Duration retryMax = std::chrono::seconds(1); ///< Upper limit of the back-off.
-    /// How long removals are deferred after an outage of the registry. Entries that expired while it was unavailable are written
-    /// again within about two seconds of its return.
+    /// Time between two probes in an outage. The time of its end is known to within about this.
+    Duration outageProbeInterval = std::chrono::milliseconds(300);
+    /// How long removals are deferred after this node has reached the registry again. Entries that expired while it was unavailable are
+    /// written again within about two seconds of its return.
     Duration removalHoldTime = std::chrono::milliseconds(2200);
+    /// Longest time from the end of an outage until deferred removals are applied. It ends before the bounds hold again, also for an
+    /// upstream that left before or in the outage.
+    Duration removalHoldLimit = std::chrono::milliseconds(2850);
 };
 
 } // namespace Galenarack
--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -4,11 +4,14 @@
 #include <galenarack/core/scopeguard.h>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace Galenarack {
 
@@ -39,9 +42,11 @@
 asio::awaitable<void> RegistryFollower::follow()
 {
     for (;;) {
-        // A probe costs a tenth of a read.
-        const bool isAvailable = !this->outage || (co_await this->probe()).ok();
-        const bool done = isAvailable && (this->position.revision != 0 ? co_await this->watchOnce() : co_await this->readAll());
+        if (this->outage) {
+            // A probe costs a tenth of a read.
+            co_await this->awaitRegistry();
+        }
+        const bool done = this->position.revision != 0 ? co_await this->watchOnce() : co_await this->readAll();
         if (!done) {
             co_await this->backOff();
         }
@@ -92,23 +97,44 @@
     }
 }
 
-asio::awaitable<absl::Status> RegistryFollower::probe()
+asio::awaitable<void> RegistryFollower::awaitRegistry()
 {
-    if (this->probing) {
-        co_return makeError(ErrorKind::PeerUnreachable, "a probe is in progress");
+    this->awaiting = true;
+    std::uniform_int_distribution<Duration::rep> jitter(this->settings.outageProbeInterval.count() / 2,
+                                                        this->settings.outageProbeInterval.count());
+    while (this->awaiting) {
+        asio::co_spawn(
+            this->timer.get_executor(),
+            [this]() -> asio::awaitable<void> {
+                const absl::Status status = co_await this->probe();
+                if (status.ok() && this->awaiting) {
+                    this->awaiting = false;
+                    this->timer.cancel();
+                }
+            },
+            asio::detached);
+        co_await this->pause(Duration(jitter(this->random)));
+        this->consecutiveFailures += this->awaiting ? 1 : 0;
     }
-    this->probing = true;
-    const ScopeGuard finished([this] {
-        this->probing = false;
+}
+
+asio::awaitable<absl::Status> RegistryFollower::probe()
+{
+    const auto open = this->openProbes.insert(NodeClock::now());
+    const ScopeGuard finished([this, open] {
+        this->openProbes.erase(open);
     });
-    const TimePoint start = NodeClock::now();
+    const TimePoint start = *open;
     const auto position = co_await this->client.probe();
-    if (position.ok()) {
-        this->revisions.onHeard(*position, NodeClock::now());
-    } else {
-        this->lastFailedProbe = start;
+    if (!position.ok()) {
+        this->lastFailedProbe = std::max(this->lastFailedProbe, start);
+        co_return position.status();
+    }
+    if (open != this->openProbes.begin()) {
+        this->lastFailedProbe = std::max(this->lastFailedProbe, *std::prev(open));
     }
-    co_return position.status();
+    this->revisions.onHeard(*position, NodeClock::now());
+    co_return absl::OkStatus();
 }
 
 asio::awaitable<bool> RegistryFollower::readAll()
@@ -328,7 +354,8 @@
                         {"last_reply_ms", age(this->lastReply)},
                         {"last_failed_probe_ms", age(this->lastFailedProbe)}});
         if (this->synchronized && this->outage) {
-            this->holdRemovalsUntil = now + this->settings.removalHoldTime;
+            const TimePoint earliestEnd = std::max(this->lastReply, this->lastFailedProbe);
+            this->holdRemovalsUntil = std::min(now + this->settings.removalHoldTime, earliestEnd + this->settings.removalHoldLimit);
         }
     }
     this->contact = true;
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 namespace Galenarack {
@@ -19,8 +20,10 @@
 /// Keeps a FleetView up to date with the registry: reads it completely, then watches for changes. It reads the registry
 /// completely again after a failed watch and after a gap in the registry's history.
 ///
-/// After an outage of the registry, removals are deferred, since entries of running upstreams may have expired meanwhile. A watch
-/// that is cut or not answered is no outage when probes were answered and the next call succeeds.
+/// After an outage of the registry, removals are deferred, since entries of running upstreams may have expired meanwhile. A node that was
+/// cut off alone can't tell this from an outage, and the entries of other upstreams that were cut off have expired then as well. The
+/// deferral ends a fixed time after the earliest moment at which the outage may have ended, which is before the bounds of the deployment
+/// hold again. A watch that is cut or not answered is no outage when probes were answered and the next call succeeds.
 class RegistryFollower
 {
 public:
@@ -54,7 +57,9 @@
     boost::asio::awaitable<void> follow();
     /// Probes the registry while a watch is open, and ends the watch when the registry does not answer.
     boost::asio::awaitable<void> probeWhileWatching();
-    /// @return OK when the registry answers; fails while another probe is in progress, since only one may be
+    /// Probes the registry until it answers. The probes overlap, since one whose packets were lost fails late.
+    boost::asio::awaitable<void> awaitRegistry();
+    /// @return OK when the registry answers
     boost::asio::awaitable<absl::Status> probe();
     /// @return when the registry is to be probed next while a watch is open
     TimePoint nextProbe() const;
@@ -97,10 +102,11 @@
     bool watching = false; ///< Whether a watch is in progress.
     bool watchBehind = false; ///< Whether the last watch was ended because it did not return known changes.
     TimePoint watchStarted; ///< Start of the last watch.
-    bool probing = false; ///< Whether a probe is in progress.
+    std::multiset<TimePoint> openProbes; ///< Start of each probe in progress.
+    bool awaiting = false; ///< Whether awaitRegistry() is in progress and no probe has been answered yet.
     bool outage = false; ///< Whether the registry has been unavailable since the last successful call.
     TimePoint lastReply; ///< Time of the last successful call.
-    TimePoint lastFailedProbe; ///< Start of the last probe that failed.
+    TimePoint lastFailedProbe; ///< Start of the last probe that failed, or that was answered later than one after it.
     unsigned consecutiveFailures = 0;
     unsigned lostHistories = 0; ///< Consecutive watches whose changes were no longer in the history.
     unsigned busyWatchCount = 0; ///< Consecutive watches that found changes waiting.
--- a/processtests/registrytest.cpp
+++ b/processtests/registrytest.cpp
@@ -215,6 +215,25 @@
              [](PlatformFleet &fleet) {
                  fleet.registry.setSilent(false);
              }},
+            {"rejects calls",
+             [](PlatformFleet &fleet) {
+                 fleet.registry.setRejection(503);
+                 fleet.registry.cutWatches();
+             },
+             [](PlatformFleet &fleet) {
+                 fleet.registry.setRejection(0);
+             }},
+            {"cuts off single nodes",
+             [](PlatformFleet &fleet) {
+                 for (unsigned node = 0; node < nodeCount; ++node) {
+                     fleet.setPathFault(node, PlatformFleet::Path::Registry, {true, true, 0us}, false);
+                 }
+             },
+             [](PlatformFleet &fleet) {
+                 for (unsigned node = 0; node < nodeCount; ++node) {
+                     fleet.setPathFault(node, PlatformFleet::Path::Registry, {}, false);
+                 }
+             }},
         };
         for (const auto &row : table) {
             PlatformFleet fleet(nodeCount);
--- a/processtests/restoretest.cpp
+++ b/processtests/restoretest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST_SUITE(RestoreTest);
     CPPUNIT_TEST(heedsEntriesWrittenAfterRestore);
     CPPUNIT_TEST(followsConfigurationAfterRestore);
+    CPPUNIT_TEST(keepsUpstreamsThatTheCopyLacks);
+    CPPUNIT_TEST(removesUpstreamsAfterLostHistory);
     CPPUNIT_TEST(callsSeldomWithoutHistory);
     CPPUNIT_TEST_SUITE_END();
 
@@ -142,6 +144,57 @@
         }
     }
 
+    /// Guards against upstreams that run, but are dropped because the copy is from before they registered, until they register again.
+    void keepsUpstreamsThatTheCopyLacks()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        for (const unsigned node : fleet.backNodes()) {
+            fleet.registry.remove("servers/" + fleet.upstreams[node]->id);
+        }
+        fleet.runFor(1500ms);
+        const auto registered = std::chrono::steady_clock::now();
+        for (const unsigned node : fleet.backNodes()) {
+            fleet.publishEntry(node, "ready");
+        }
+        fleet.runFor(1500ms);
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.sendAndWait(0, "POST", "/write/x", "before").status);
+        fleet.registry.setReachable(false);
+        fleet.runFor(200ms);
+        fleet.registry.restore(std::chrono::ceil<std::chrono::milliseconds>(std::chrono::steady_clock::now() - registered) + 100ms);
+        fleet.registry.setReachable(true);
+        for (int i = 0; i < 14; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.sendAndWait(0, "POST", "/write/x", "k" + std::to_string(i)).status);
+            fleet.runFor(100ms);
+        }
+        for (const unsigned node : fleet.backNodes()) {
+            fleet.publishEntry(node, "ready");
+        }
+        fleet.runFor(1s);
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.sendAndWait(0, "POST", "/write/x", "after").status);
+    }
+
+    /// Guards against requests to an upstream whose removal is no longer in the registry's history when a node asks for it: nothing
+    /// has expired, so the removal is not deferred.
+    void removesUpstreamsAfterLostHistory()
+    {
+        PlatformFleet fleet(nodeCount);
+        CPPUNIT_ASSERT(fleet.startAll());
+        fleet.runFor(1s);
+        const unsigned upstream = fleet.backNodes().front();
+        // The nodes pause after this change, so that the next one is gone before they ask for it.
+        fleet.publishEntry(0, "ready");
+        fleet.runFor(50ms);
+        fleet.registry.remove("servers/" + fleet.upstreams[upstream]->id);
+        fleet.registry.forgetHistory();
+        fleet.runFor(applyTime);
+        const std::size_t before = fleet.upstreams[upstream]->arrivals.size();
+        for (unsigned i = 0; i < 20; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.sendAndWait(i % nodeCount, "GET", "/read/x", "h" + std::to_string(i)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, fleet.upstreams[upstream]->arrivals.size());
+    }
+
     /// Guards against nodes that read the registry without a pause while it answers every watch that its history is gone.
     void callsSeldomWithoutHistory()
     {
--- a/unittests/followersettingstest.cpp
+++ b/unittests/followersettingstest.cpp
@@ -43,10 +43,13 @@
             // A watch that is older than its first time at the end of a fault fails by its own time-out before the bounds hold again.
             const Duration oldWatchFails = settings.watchWait + row.replyTimeout - settings.youngWatchTime;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, oldWatchFails < row.bounds.settleTime);
-            // After an outage that was noticed, the deferral of removals begins with the first call that succeeds.
-            const Duration reached = row.replyTimeout + settings.retryMax;
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                row.name, row.isFeasible, reached + settings.removalHoldTime <= row.bounds.settleTime + row.bounds.applyTime());
+            // The removal of an upstream that left before or in an outage is applied before the bounds hold again, however long this
+            // node took to reach the registry.
+            CPPUNIT_ASSERT_MESSAGE(row.name, settings.removalHoldLimit > Duration::zero());
+            CPPUNIT_ASSERT_MESSAGE(row.name, settings.removalHoldLimit < row.bounds.settleTime);
+            // A probe that fails in the outage leaves time for entries that are written again after its end.
+            const Duration reached = row.replyTimeout + settings.outageProbeInterval;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, reached < settings.removalHoldLimit / 2);
         }
     }
 };
