Apply deferred removals when they are due, also beside other changes

Cause: a removal is applied with a reply of the registry. The watch ended when one was due, but not the pause after a change, 0.3 to 0.9 s.

Change: the pause ends when the next deferred removal is due.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -187,7 +187,7 @@
     this->watching = true;
     this->watchBehind = false;
     this->watchStarted = now;
-    const auto read = co_await this->client.watch(this->position, this->nextWatchWait(now));
+    const auto read = co_await this->client.watch(this->position, this->untilRemovalDue(this->settings.watchWait, now));
     this->watching = false;
     if (!read.ok()) {
         this->onCallFailed(read.status(), true);
@@ -207,7 +207,9 @@
         // Waiting changes are returned at once. A longer call means that there was no change when the watch started.
         const bool waited = NodeClock::now() - now > this->settings.batchPause;
         this->busyWatchCount = waited ? 0 : this->busyWatchCount + 1;
-        co_await this->pause(std::min(this->settings.batchPause * (1 + this->busyWatchCount), this->settings.batchPauseMax));
+        const Duration batch = std::min(this->settings.batchPause * (1 + this->busyWatchCount), this->settings.batchPauseMax);
+        // The watch after the pause ends when a deferred removal is due.
+        co_await this->pause(this->untilRemovalDue(batch, NodeClock::now()));
     }
     co_return true;
 }
@@ -314,10 +316,10 @@
     });
 }
 
-Duration RegistryFollower::nextWatchWait(TimePoint now) const
+Duration RegistryFollower::untilRemovalDue(Duration longest, TimePoint now) const
 {
     constexpr Duration minWait = std::chrono::milliseconds(1);
-    Duration wait = this->settings.watchWait;
+    Duration wait = longest;
     for (const auto &[id, removal] : this->heldRemovals) {
         wait = std::min(wait, std::max<Duration>(removal.due - now, minWait));
     }
--- a/galenarack/fleet/registryfollower.h
+++ b/galenarack/fleet/registryfollower.h
@@ -76,8 +76,8 @@
     void applyHeldRemovals(TimePoint now);
     /// Records a removal, to be applied with the changes of the same reply or, after an outage, later.
     void recordRemoval(std::string_view id, const RegistryPosition &position);
-    /// @return longest time that the next watch may be held, so that deferred removals are applied when they are due
-    Duration nextWatchWait(TimePoint now) const;
+    /// @return time until the next deferred removal is due, `longest` at most; a wait until the next reply must end by then
+    Duration untilRemovalDue(Duration longest, TimePoint now) const;
     /// @param isWatch whether the failed call is a watch
     void onCallFailed(const absl::Status &error, bool isWatch);
     void onCallSucceeded();
--- a/processtests/outagetest.cpp
+++ b/processtests/outagetest.cpp
@@ -133,6 +133,7 @@
     Milliseconds settleTime; ///< Time after the fault from which the bounds hold again.
     bool isDrainingFirst = false; ///< Whether the entry says `draining` for 0.3 s before.
     bool isHistoryLost = false; ///< Whether the registry discards its history at the end of the fault.
+    Milliseconds changeInterval{}; ///< Time between changes of another entry from the end of the fault on, 0 for none.
 };
 
 } // namespace
@@ -142,6 +143,7 @@
 {
     CPPUNIT_TEST_SUITE(OutageTest);
     CPPUNIT_TEST(removesUpstreamsOnceBoundsHoldAgain);
+    CPPUNIT_TEST(removesUpstreamsBesideOtherChanges);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +167,20 @@
         }
     }
 
+    /// Guards against a deferred removal that is due, but applied only with the next reply of the registry: a node waits between two
+    /// calls while entries change.
+    void removesUpstreamsBesideOtherChanges()
+    {
+        const Leave table[] = {
+            {"frequent changes", Fault::NodeSilent, 4000ms, 1500ms, 2000ms, false, false, 50ms},
+            {"frequent changes, usual bounds", Fault::NodeRefused, 4000ms, 1500ms, usualSettleTime, false, false, 50ms},
+            {"changes now and then", Fault::NodeRefused, 4000ms, 1500ms, 2000ms, false, false, 400ms},
+        };
+        for (const Leave &row : table) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 0U, countLateArrivals(row));
+        }
+    }
+
 private:
     /// Plays a fault beside a caller of the node that is cut off.
     /// @return number of requests to the upstream that break the bound on removals
@@ -213,7 +229,12 @@
         if (leave.at >= leave.duration) {
             leaveAtTime();
         }
-        runUntil(leave.duration + leave.settleTime + 1500ms);
+        const Milliseconds last = leave.duration + leave.settleTime + 1500ms;
+        for (Milliseconds at = leave.duration; leave.changeInterval > 0ms && at < last; at += leave.changeInterval) {
+            fleet.publishEntry(0, "ready");
+            runUntil(at);
+        }
+        runUntil(last);
         return caller.arrivals(upstream, settled + margin, std::max(settled, left + drainTime) + margin);
     }
 };
