Start the cycle of a weighted route at one of its own positions

Cause: the first credits were shifted by up to the sum of the weights towards the first destination, which is no state of the cycle.

Change: a cycle starts without credits and is advanced to a random position.

Why it works: in a state of the cycle a destination without weight never has the highest credit, and the next request is drawn in proportion to the weights.

--- a/galenarack/policy/weightedsplit.cpp
+++ b/galenarack/policy/weightedsplit.cpp
@@ -6,6 +6,14 @@
 
 namespace Galenarack {
 
+namespace {
+
+/// Upper limit of the start position. It bounds the work at a change of weights; a destination with a smaller share than one request in
+/// this many may start late in its cycle.
+constexpr std::uint32_t maxStart = 4096;
+
+} // namespace
+
 WeightedSplit::WeightedSplit(std::uint32_t offset)
     : offset(offset)
 {
@@ -14,36 +22,40 @@
 std::size_t WeightedSplit::next(std::span<const WeightedService> destinations)
 {
     assert(!destinations.empty());
-    if (destinations.size() == 1) {
-        return 0;
+    if (!std::ranges::equal(destinations, this->weights, {}, &WeightedService::weight)) {
+        this->restart(destinations);
     }
-    const bool unchanged = std::ranges::equal(destinations, this->weights, {}, &WeightedService::weight);
-    std::int64_t total = 0;
+    return this->advance();
+}
+
+void WeightedSplit::restart(std::span<const WeightedService> destinations)
+{
+    this->weights.clear();
+    this->total = 0;
+    std::uint32_t divisor = 0;
     for (const WeightedService &destination : destinations) {
-        total += destination.weight;
+        this->weights.push_back(destination.weight);
+        this->total += destination.weight;
+        divisor = std::gcd(divisor, destination.weight);
     }
-    if (!unchanged) {
-        this->weights.clear();
-        this->credits.clear();
-        for (const WeightedService &destination : destinations) {
-            this->weights.push_back(destination.weight);
-            this->credits.push_back(0);
-        }
-        if (total > 0) {
-            // Initial credits that add up to zero move the start of the cycle without changing the shares.
-            const std::int64_t shift = this->offset % total;
-            this->credits.front() += shift;
-            this->credits.back() -= shift;
-        }
+    this->credits.assign(this->weights.size(), 0);
+    const std::int64_t length = divisor == 0 ? 1 : this->total / divisor;
+    const std::int64_t start = this->offset % std::min<std::int64_t>(length, maxStart);
+    for (std::int64_t i = 0; i < start; ++i) {
+        this->advance();
     }
+}
+
+std::size_t WeightedSplit::advance()
+{
     std::size_t best = 0;
-    for (std::size_t i = 0; i < destinations.size(); ++i) {
-        this->credits[i] += destinations[i].weight;
+    for (std::size_t i = 0; i < this->credits.size(); ++i) {
+        this->credits[i] += this->weights[i];
         if (this->credits[i] > this->credits[best]) {
             best = i;
         }
     }
-    this->credits[best] -= total;
+    this->credits[best] -= this->total;
     return best;
 }
 
--- a/galenarack/policy/weightedsplit.h
+++ b/galenarack/policy/weightedsplit.h
@@ -15,7 +15,8 @@
 class WeightedSplit
 {
 public:
-    /// @param offset start position in the cycle; it differs between nodes so that they do not all start with the same destination
+    /// @param offset random number that selects the start position in each cycle, so that the first requests of many nodes also follow
+    ///               the weights
     explicit WeightedSplit(std::uint32_t offset = 0);
 
     /// Selects the destination for the next request.
@@ -24,9 +25,17 @@
     std::size_t next(std::span<const WeightedService> destinations);
 
 private:
+    /// Starts a cycle at the position of the offset.
+    void restart(std::span<const WeightedService> destinations);
+
+    /// Advances the cycle by one request.
+    /// @return index of the destination that the request goes to
+    std::size_t advance();
+
     std::uint32_t offset;
     std::vector<std::int64_t> credits; ///< Credit of each destination; the one with the highest credit is next.
     std::vector<std::uint32_t> weights; ///< Weights of the destinations in the present cycle.
+    std::int64_t total = 0; ///< Sum of the weights.
 };
 
 } // namespace Galenarack
