Accept all weights that fit the type

What callers saw: with a weight above 1,000,000 in one route, a node that starts does not become ready, and others keep the version before.

Cause: the decoder bounded weights, and refused the whole configuration.

Evidence: WeightedRouteTest::runsNothingAtServicesWithoutShare, row 'largest weight', and PlatformDecodeTest, row of the same name, failed before.

Why it works: the split sums weights in 64 bits, so 32-bit weights can't overflow.

--- a/processtests/support/platformfleet.cpp
+++ b/processtests/support/platformfleet.cpp
@@ -28,11 +28,12 @@
 Json makeRoute(const ConfiguredRoute &route)
 {
     Json action = {{"timeout-ms", route.timeout.count()}, {"max-attempts", 3}};
-    if (route.services.size() == 1) {
+    if (route.services.size() == 1 && route.weights.empty()) {
         action["service"] = route.services.front();
     } else {
-        for (const std::string &service : route.services) {
-            action["weighted-services"].push_back({{"service", service}, {"weight", 1}});
+        for (std::size_t i = 0; i < route.services.size(); ++i) {
+            const std::uint32_t weight = route.weights.empty() ? 1 : route.weights[i];
+            action["weighted-services"].push_back({{"service", route.services[i]}, {"weight", weight}});
         }
     }
     return {{"name", route.prefix.substr(1, route.prefix.size() - 2)},
--- a/processtests/support/platformfleet.h
+++ b/processtests/support/platformfleet.h
@@ -230,9 +230,10 @@
 struct ConfiguredRoute
 {
     std::string prefix; ///< Path prefix, with a slash at both ends.
-    std::vector<std::string> services; ///< Services that share the requests evenly.
+    std::vector<std::string> services; ///< Services that share the requests.
     bool idempotent = true;
     std::chrono::milliseconds timeout{4000};
+    std::vector<std::uint32_t> weights{}; ///< Weight of each service, empty for even shares.
 };
 
 /// Outcome of one request as its caller observed it.
--- a/unittests/platformdecodetest.cpp
+++ b/unittests/platformdecodetest.cpp
@@ -317,6 +317,23 @@
                  config["listeners"][0]["rules"][0]["action"]["weighted-services"][0].erase("weight");
              },
              false},
+            {"weights of 0",
+             [](Json &config) {
+                 for (Json &part : config["listeners"][0]["rules"][0]["action"]["weighted-services"]) {
+                     part["weight"] = 0;
+                 }
+             },
+             true},
+            {"largest weight",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["action"]["weighted-services"][0]["weight"] = 4'294'967'295;
+             },
+             true},
+            {"negative weight",
+             [](Json &config) {
+                 config["listeners"][0]["rules"][0]["action"]["weighted-services"][0]["weight"] = -1;
+             },
+             false},
             {"no host",
              [](Json &config) {
                  config["listeners"][0].erase("host");
