Refuse requests of a route whose weights are all 0

What callers saw: all requests of such a route ran at its first service, which has no share of it.

Cause: the split had no result for 'none', and its first index was the default.

Change: without a weight there is no destination; the request is refused at once with 503 and a Retry-After of 1 s, as only a new configuration can change that.

Measured: WeightedRouteTest, WeightedSplitTest pass.

--- a/galenarack/policy/weightedsplit.cpp
+++ b/galenarack/policy/weightedsplit.cpp
@@ -19,12 +19,15 @@
 {
 }
 
-std::size_t WeightedSplit::next(std::span<const WeightedService> destinations)
+std::optional<std::size_t> WeightedSplit::next(std::span<const WeightedService> destinations)
 {
     assert(!destinations.empty());
     if (!std::ranges::equal(destinations, this->weights, {}, &WeightedService::weight)) {
         this->restart(destinations);
     }
+    if (this->total == 0) {
+        return std::nullopt;
+    }
     return this->advance();
 }
 
@@ -39,8 +42,10 @@
         divisor = std::gcd(divisor, destination.weight);
     }
     this->credits.assign(this->weights.size(), 0);
-    const std::int64_t length = divisor == 0 ? 1 : this->total / divisor;
-    const std::int64_t start = this->offset % std::min<std::int64_t>(length, maxStart);
+    if (this->total == 0) {
+        return;
+    }
+    const std::int64_t start = this->offset % std::min<std::int64_t>(this->total / divisor, maxStart);
     for (std::int64_t i = 0; i < start; ++i) {
         this->advance();
     }
--- a/galenarack/policy/weightedsplit.h
+++ b/galenarack/policy/weightedsplit.h
@@ -2,6 +2,7 @@
 
 #include <galenarack/fleet/trafficconfig.h>
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -21,8 +22,8 @@
 
     /// Selects the destination for the next request.
     /// @param destinations at least one destination; a change of their weights starts a new cycle
-    /// @return index into the destinations
-    std::size_t next(std::span<const WeightedService> destinations);
+    /// @return index into the destinations; nothing when all weights are 0
+    std::optional<std::size_t> next(std::span<const WeightedService> destinations);
 
 private:
     /// Starts a cycle at the position of the offset.
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -36,6 +36,9 @@
 constexpr int retryAfterShare = 3;
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 
+/// Retry-After while no destination of a route has a weight. Only a change of the configuration ends that.
+constexpr Duration unroutedRetryAfter = std::chrono::seconds(1);
+
 constexpr unsigned serverError = 500;
 
 /// Timeout of a route that sets none.
@@ -157,8 +160,6 @@
         return false;
     }
     const TrafficRoute &route = *context.route;
-    const auto split = this->splits.try_emplace(route.name, static_cast<std::uint32_t>(this->random())).first;
-    context.service = route.destinations[split->second.next(route.destinations)].service;
     Duration allowed = route.timeout > Duration::zero() ? route.timeout : defaultTimeout;
     if (const auto remaining = context.request.headers.findNumber(this->dialect.remainingMs)) {
         constexpr std::int64_t most = 24LL * 3600 * 1000;
@@ -167,6 +168,13 @@
     context.deadline = now + allowed;
     context.targetDeadline = now + route.targetLatency;
     context.expected = this->durations.usual(route.name, route.targetLatency);
+    const auto split = this->splits.try_emplace(route.name, static_cast<std::uint32_t>(this->random())).first;
+    const std::optional<std::size_t> destination = split->second.next(route.destinations);
+    if (!destination) {
+        refusal = this->refuse(context, ErrorKind::NoUpstream, honouredRetryAfter(context.deadline, unroutedRetryAfter, now));
+        return false;
+    }
+    context.service = route.destinations[*destination].service;
     return true;
 }
 
--- a/processtests/weightedroutetest.cpp
+++ b/processtests/weightedroutetest.cpp
@@ -55,6 +55,7 @@
             {"first without share", {0, 100}, 200},
             {"second without share", {100, 0}, 200},
             {"largest weight", {0, largest}, 200},
+            {"all without share", {0, 0}, 503},
         };
         PlatformFleet fleet(nodeCount);
         CPPUNIT_ASSERT(fleet.startAll());
--- a/unittests/trafficconfigtest.cpp
+++ b/unittests/trafficconfigtest.cpp
@@ -89,7 +89,7 @@
                 WeightedSplit split(offset);
                 std::vector<unsigned> counts(row.weights.size());
                 for (unsigned i = 0; i < row.requests; ++i) {
-                    ++counts[split.next(services)];
+                    ++counts[split.next(services).value()];
                 }
                 for (std::size_t i = 0; i < counts.size(); ++i) {
                     const double share = static_cast<double>(row.requests) * row.weights[i] / total;
--- a/unittests/weightedsplittest.cpp
+++ b/unittests/weightedsplittest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST_SUITE(WeightedSplitTest);
     CPPUNIT_TEST(weightZeroGetsNoRequest);
     CPPUNIT_TEST(changeToWeightZeroEndsTheRequests);
+    CPPUNIT_TEST(noDestinationWithoutWeights);
     CPPUNIT_TEST(firstRequestsOfManyNodesFollowTheWeights);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,7 +36,7 @@
     /// Guards against requests that a destination with the weight 0 gets when a node starts.
     void weightZeroGetsNoRequest()
     {
-        constexpr std::uint32_t large = 1'000'000;
+        constexpr std::uint32_t large = std::numeric_limits<std::uint32_t>::max();
         const std::vector<std::uint32_t> table[] = {
             {0, 100},
             {100, 0},
@@ -56,7 +57,7 @@
             for (int node = 0; node < 200; ++node) {
                 WeightedSplit split(random());
                 for (int request = 0; request < 50; ++request) {
-                    CPPUNIT_ASSERT(weights[split.next(destinations)] > 0);
+                    CPPUNIT_ASSERT(weights[split.next(destinations).value()] > 0);
                 }
             }
         }
@@ -84,13 +85,28 @@
                 for (const std::vector<std::uint32_t> &weights : row.steps) {
                     const std::vector<WeightedService> destinations = makeDestinations(weights);
                     for (int request = 0; request < 7; ++request) {
-                        CPPUNIT_ASSERT_MESSAGE(row.name, weights[split.next(destinations)] > 0);
+                        CPPUNIT_ASSERT_MESSAGE(row.name, weights[split.next(destinations).value()] > 0);
                     }
                 }
             }
         }
     }
 
+    /// Guards against requests that run at a service although all weights of the route are 0, and against a split that does not go on
+    /// once there is a weight again.
+    void noDestinationWithoutWeights()
+    {
+        const std::vector<std::uint32_t> table[] = {{0}, {0, 0}, {0, 0, 0}};
+        for (const std::vector<std::uint32_t> &weights : table) {
+            WeightedSplit split(7);
+            std::vector<WeightedService> destinations = makeDestinations(weights);
+            CPPUNIT_ASSERT(!split.next(destinations));
+            CPPUNIT_ASSERT(!split.next(destinations));
+            destinations.back().weight = 1;
+            CPPUNIT_ASSERT_EQUAL(weights.size() - 1, split.next(destinations).value());
+        }
+    }
+
     /// Guards against a fleet whose nodes all send their first requests to the same destination, after a start or a change of weights:
     /// its share is then far off its weight until each node has sent many requests.
     void firstRequestsOfManyNodesFollowTheWeights()
@@ -111,7 +127,7 @@
                 for (int node = 0; node < nodes; ++node) {
                     WeightedSplit split(random());
                     for (int i = 0; i < requests; ++i) {
-                        ++counts[split.next(destinations)];
+                        ++counts[split.next(destinations).value()];
                     }
                 }
                 for (std::size_t i = 0; i < weights.size(); ++i) {
