Probe the registry so often that a silent watch delays no change too long

Cause: beside an older watch a probe came each 2 s, and 0.4 s for the lag of the watch and 0.3 s for back-off and read follow it.

Change: the interval is derived from the bounds, 1.1 s for 2 s.

Why it works: a change just after a probe is shown by the next one, and the time until all is read again fits into what is left, for all bounds.

--- a/galenarack/fleet/followersettings.cpp
+++ b/galenarack/fleet/followersettings.cpp
@@ -18,6 +18,13 @@
 /// Number of probes in the time in which a lost reply to a watch would be noticed too late without them.
 constexpr int youngProbeCount = 4;
 
+/// Share of the time to apply a change that is left for delays of the probe and of the replies.
+constexpr double probeSlackShare = 0.1;
+
+/// Longest time between two probes. An entry of a running upstream expires after three check-ins were missed, so an outage that no probe
+/// has noticed is too short for that.
+constexpr Duration longestProbeInterval = std::chrono::seconds(2);
+
 /// Shortest time that a watch is held, so that narrow bounds of a deployment do not lead to a call without a pause.
 constexpr Duration minWatchWait = std::chrono::milliseconds(500);
 
@@ -45,7 +52,12 @@
     // A watch fails `settleTime + applyTime` after it was opened at the latest, so one that is older than `applyTime` at the end of a
     // fault fails before the bounds hold again. Until then only probes show that its reply was lost.
     settings.youngWatchTime = bounds.applyTime();
-    settings.youngProbeInterval = std::min<Duration>(bounds.applyTime() / youngProbeCount, settings.probeInterval);
+    settings.youngProbeInterval = std::min<Duration>(bounds.applyTime() / youngProbeCount, longestProbeInterval);
+    // Worst case: a change follows just after a probe, and the watch does not return it. The next probe shows the newer revision, and
+    // after `watchLag` all is read again.
+    const auto slack = std::chrono::duration_cast<Duration>(bounds.applyTime() * probeSlackShare);
+    const Duration afterProbe = settings.watchLag + rereadTime + slack;
+    settings.probeInterval = std::clamp(bounds.applyTime() - afterProbe, settings.youngProbeInterval, longestProbeInterval);
     settings.batchPause = std::chrono::duration_cast<Duration>(bounds.applyTime() * batchPauseShare);
     settings.batchPauseMax = settings.batchPause * maxBatchPauses;
     settings.removalHoldLimit = std::chrono::duration_cast<Duration>(bounds.settleTime * (1.0 - removalSlackShare));
--- a/galenarack/fleet/followersettings.h
+++ b/galenarack/fleet/followersettings.h
@@ -30,9 +30,9 @@
     /// Longest time a watch is held open. A watch that the registry never answers, because it or its reply was lost, can't be told
     /// from one without a change. It fails after this time and the reply time-out, and blocks all changes until then.
     Duration watchWait = std::chrono::milliseconds(3950);
-    /// Time without a reply after which a probe checks whether the registry answers calls at all. An entry of a running upstream
-    /// expires after three check-ins were missed, so an outage that no probe has noticed is too short for that.
-    Duration probeInterval = std::chrono::seconds(2);
+    /// Time without a reply after which a probe checks whether the registry answers, and whether it has changes that the watch has not
+    /// returned.
+    Duration probeInterval = std::chrono::milliseconds(1100);
     Duration youngProbeInterval = std::chrono::milliseconds(500); ///< The same while a watch is younger than `youngWatchTime`.
     /// A watch that was opened in a fault, at most this long before the end of the fault, would fail too late by itself.
     Duration youngWatchTime = std::chrono::seconds(2);
--- a/unittests/followersettingstest.cpp
+++ b/unittests/followersettingstest.cpp
@@ -40,6 +40,10 @@
             // A probe in the first time of a watch finds a silent registry, and the complete read ends before the bounds hold again.
             const Duration readAfterSilence = settings.youngProbeInterval + row.replyTimeout + settings.retryMax;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, readAfterSilence < row.bounds.settleTime);
+            // While the watches of all nodes are silent, a change just after a probe is in force in time: the next probe, the lag of the
+            // watch, the back-off and the complete read.
+            const Duration followed = settings.probeInterval + settings.watchLag + settings.retryMin;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, followed < row.bounds.applyTime());
             // A watch that is older than its first time at the end of a fault fails by its own time-out before the bounds hold again.
             const Duration oldWatchFails = settings.watchWait + row.replyTimeout - settings.youngWatchTime;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isFeasible, oldWatchFails < row.bounds.settleTime);
