Bound the bodies of callers' requests together

Cause: the bodies of callers counted towards no limit, and each was held three times.

The pool of the upstream takes the body instead of copying it. The stand-in HTTP server takes bodies up to 64 MB, since the test sends 60 MB.

Why it works: a quarter held twice and the two limits of an eighth fit into the memory, and a body with a length is counted before it is read.

--- a/galenarack/core/bytebudget.cpp
+++ b/galenarack/core/bytebudget.cpp
@@ -46,4 +46,15 @@
     this->budget.enforce();
 }
 
+bool ByteReservation::tryResize(std::size_t size)
+{
+    const std::size_t others = this->budget.usedBytes - this->bytes;
+    if (this->dropped || size > this->budget.limit || others > this->budget.limit - size) {
+        return false;
+    }
+    this->budget.usedBytes = others + size;
+    this->bytes = size;
+    return true;
+}
+
 } // namespace Galenarack
--- a/galenarack/core/bytebudget.h
+++ b/galenarack/core/bytebudget.h
@@ -42,7 +42,8 @@
 {
 public:
     /// @param budget must outlive the reservation
-    /// @param onDropped called once when the message has to be dropped; its bytes are no longer counted from then on
+    /// @param onDropped called once when the message has to be dropped; its bytes are no longer counted from then on. May be empty when
+    ///                  all messages of the budget use tryResize() only.
     ByteReservation(ByteBudget &budget, std::function<void()> onDropped);
     ~ByteReservation();
     ByteReservation(const ByteReservation &) = delete;
@@ -51,6 +52,10 @@
     /// Sets the bytes that the message holds. Ignored once the message has been dropped.
     void resize(std::size_t bytes);
 
+    /// Sets the bytes that the message holds, if the limit is kept. Drops no message.
+    /// @return false when there is no room; the message then holds what it held before
+    [[nodiscard]] bool tryResize(std::size_t bytes);
+
     /// @return whether the message has to be dropped
     bool isDropped() const
     {
--- a/galenarack/home/upstreampool.cpp
+++ b/galenarack/home/upstreampool.cpp
@@ -36,13 +36,14 @@
     return std::ranges::find(hopByHopFields, name) != hopByHopFields.end();
 }
 
-http::request<http::string_body> toBeast(const PeerRequest &request, const asio::ip::tcp::endpoint &address)
+/// Takes the body out of the request, so that a long one is not held twice.
+http::request<http::string_body> toBeast(PeerRequest &request, const asio::ip::tcp::endpoint &address)
 {
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.path);
-    message.body() = request.body;
+    message.body() = std::move(request.body);
     for (const HeaderField &field : request.headers.all()) {
         if (!isHopByHop(field.name)) {
             message.insert(field.name, field.value);
@@ -180,7 +181,7 @@
 {
 }
 
-asio::awaitable<absl::StatusOr<PeerResponse>> UpstreamPool::request(const PeerRequest &request,
+asio::awaitable<absl::StatusOr<PeerResponse>> UpstreamPool::request(PeerRequest request,
                                                                     std::string_view requestId,
                                                                     TimePoint deadline,
                                                                     UpstreamCall &call)
--- a/galenarack/home/upstreampool.h
+++ b/galenarack/home/upstreampool.h
@@ -68,7 +68,7 @@
     /// @param call receives the function that aborts the request; must outlive the call
     /// @return the response, or UpstreamConnectFailed (the request was certainly not run), UpstreamAnswerCut,
     ///         UpstreamAnswerInvalid, UpstreamAnswerTooLarge, Timeout, or Cancelled when it was aborted before it was sent
-    boost::asio::awaitable<absl::StatusOr<PeerResponse>> request(const PeerRequest &request,
+    boost::asio::awaitable<absl::StatusOr<PeerResponse>> request(PeerRequest request,
                                                                  std::string_view requestId,
                                                                  TimePoint deadline,
                                                                  UpstreamCall &call);
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -34,6 +34,9 @@
 /// Time for which the bytes that a caller still sends are read after the last response.
 constexpr Duration discardTimeout = std::chrono::seconds(2);
 
+/// Retry-After of a request whose body does not fit, in seconds. Requests with long bodies take about that long.
+constexpr std::string_view bodyRetryAfter = "1";
+
 /// Time for receiving a body after its header, and for sending a response.
 constexpr Duration transferTimeout = std::chrono::seconds(15);
 
@@ -42,6 +45,13 @@
 /// A request whose response has not been sent.
 struct CallerServer::Pending
 {
+    explicit Pending(std::shared_ptr<ByteBudget> bodies)
+        : bodies(std::move(bodies))
+        , reservation(std::in_place, *this->bodies, nullptr)
+    {
+    }
+    std::shared_ptr<ByteBudget> bodies;
+    std::optional<ByteReservation> reservation; ///< Share of the body; empty once the request has been answered.
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
     PeerResponse response;
     bool answered = false; ///< The response is ready to be sent.
@@ -70,9 +80,10 @@
     TimePoint idleSince; ///< Last time at which a request or a response began or ended.
 };
 
-CallerServer::CallerServer(asio::any_io_executor executor, std::function<CallerLimits()> limits, Handler handler)
+CallerServer::CallerServer(asio::any_io_executor executor, std::function<CallerLimits()> limits, std::size_t bodyBytes, Handler handler)
     : executor(std::move(executor))
     , limits(std::move(limits))
+    , bodies(std::make_shared<ByteBudget>(bodyBytes))
     , handler(std::move(handler))
     , listener(this->executor, [this](asio::ip::tcp::socket socket) {
         this->accept(std::move(socket));
@@ -106,7 +117,7 @@
         asio::detached);
 }
 
-asio::awaitable<beast::error_code> CallerServer::readRequest(Connection &connection, Parser &parser)
+asio::awaitable<beast::error_code> CallerServer::readRequest(Connection &connection, Parser &parser, ByteReservation &reservation)
 {
     constexpr std::size_t readSize = 4096;
     connection.idleSince = NodeClock::now();
@@ -126,12 +137,42 @@
     if (!hasUnambiguousLength(parser.get())) {
         co_return http::error::bad_content_length;
     }
+    if (!reservation.tryResize(parser.content_length().value_or(0))) {
+        co_return asio::error::no_buffer_space;
+    }
     if (connection.pending.empty() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const http::response<http::empty_body> interim(http::status::continue_, parser.get().version());
         co_await http::async_write(connection.socket, interim, awaitTuple);
     }
-    const auto [bodyError, bodyLength] = co_await http::async_read(connection.socket, connection.buffer, parser, awaitTuple);
-    co_return bodyError;
+    co_return co_await this->readBody(connection, parser, reservation);
+}
+
+asio::awaitable<beast::error_code> CallerServer::readBody(Connection &connection, Parser &parser, ByteReservation &reservation)
+{
+    const bool hasLength = parser.content_length().has_value();
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const auto [error, length] = co_await http::async_read_some(connection.socket, connection.buffer, parser, awaitTuple);
+        if (error) {
+            co_return error;
+        }
+        if (!hasLength && !reservation.tryResize(parser.get().body().capacity())) {
+            co_return asio::error::no_buffer_space;
+        }
+    }
+    co_return beast::error_code();
+}
+
+asio::awaitable<void> CallerServer::skipInput(Connection &connection)
+{
+    constexpr std::size_t skipSize = 16 * 1024;
+    for (;;) {
+        connection.buffer.clear();
+        const auto [error, length] = co_await connection.socket.async_read_some(connection.buffer.prepare(skipSize), awaitTuple);
+        if (error) {
+            co_return;
+        }
+    }
 }
 
 asio::awaitable<void> CallerServer::readLoop(std::shared_ptr<Connection> connection)
@@ -144,12 +185,18 @@
         Parser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
-        const beast::error_code error = co_await this->readRequest(*connection, parser);
+        const auto pending = std::make_shared<Pending>(this->bodies);
+        const beast::error_code error = co_await this->readRequest(*connection, parser, *pending->reservation);
         connection->reading = false;
         connection->idleSince = NodeClock::now();
         if (error) {
-            if (isProtocolError(error)) {
-                this->refuse(connection, error);
+            if (error == asio::error::no_buffer_space) {
+                pending->reservation.reset();
+                this->refuse(connection, ErrorKind::Overloaded, "the bodies of requests in progress leave no room for this one");
+                connection->changed.cancel();
+                co_await this->skipInput(*connection);
+            } else if (isProtocolError(error)) {
+                this->refuse(connection, kindOfReadError(error), error.message());
             } else {
                 // The caller has closed the connection, so its responses cannot be delivered.
                 for (const auto &pending : std::deque(connection->pending)) {
@@ -162,7 +209,6 @@
             // The caller repeats requests that were sent before it received the closing response, so they must not run here.
             continue;
         }
-        const auto pending = std::make_shared<Pending>();
         pending->keepAlive = parser.keep_alive();
         pending->isHead = parser.get().method() == http::verb::head;
         this->enqueue(connection, pending);
@@ -192,20 +238,25 @@
     connection->pending.push_back(std::move(pending));
 }
 
-void CallerServer::refuse(const std::shared_ptr<Connection> &connection, const beast::error_code &error)
+void CallerServer::refuse(const std::shared_ptr<Connection> &connection, ErrorKind kind, const std::string &detail)
 {
-    const ErrorKind kind = kindOfReadError(error);
-    this->log.warn("request refused", {{"error_kind", errorRow(kind).name}, {"detail", error.message()}});
-    const auto pending = std::make_shared<Pending>();
+    this->log.warn(
+        "request refused",
+        {{"error_kind", errorRow(kind).name}, {"detail", detail}, {"bodies_bytes", static_cast<std::int64_t>(this->bodies->used())}});
+    const auto pending = std::make_shared<Pending>(this->bodies);
     pending->keepAlive = false;
     pending->answered = true;
-    pending->response = problemResponse(kind, error.message(), "");
+    pending->response = problemResponse(kind, detail, "");
+    if (kind == ErrorKind::Overloaded) {
+        pending->response.headers.add("retry-after", std::string(bodyRetryAfter));
+    }
     this->enqueue(connection, pending);
 }
 
 asio::awaitable<void> CallerServer::answer(std::shared_ptr<Connection> connection, std::shared_ptr<Pending> pending, CallerRequest request)
 {
     pending->response = co_await this->handler(std::move(request), pending->cancellation);
+    pending->reservation.reset();
     pending->answered = true;
     connection->changed.cancel();
 }
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <galenarack/core/bytebudget.h>
 #include <galenarack/core/cancellation.h>
+#include <galenarack/core/errorkind.h>
 #include <galenarack/core/listener.h>
 #include <galenarack/core/log.h>
 #include <galenarack/fleet/trafficconfig.h>
@@ -18,6 +20,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace Galenarack {
 
@@ -30,8 +33,10 @@
     using Handler = std::function<boost::asio::awaitable<PeerResponse>(CallerRequest, std::shared_ptr<Cancellation> cancellation)>;
 
     /// @param limits returns the limits currently in force
+    /// @param bodyBytes maximum size of the bodies of all requests in progress together, in bytes; a request whose body does not fit is
+    ///                  refused as overloaded, before its body is received if it has a length
     /// @param handler called for each request
-    CallerServer(boost::asio::any_io_executor executor, std::function<CallerLimits()> limits, Handler handler);
+    CallerServer(boost::asio::any_io_executor executor, std::function<CallerLimits()> limits, std::size_t bodyBytes, Handler handler);
 
     /// Binds to an address and starts to accept connections.
     /// @return SettingInvalid when the address cannot be bound
@@ -70,16 +75,23 @@
 
     void accept(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> readLoop(std::shared_ptr<Connection> connection);
-    boost::asio::awaitable<boost::beast::error_code> readRequest(Connection &connection, Parser &parser);
+    /// Receives one request.
+    /// @param reservation takes the size of its body
+    /// @return no_buffer_space when the body does not fit beside those of other requests
+    boost::asio::awaitable<boost::beast::error_code> readRequest(Connection &connection, Parser &parser, ByteReservation &reservation);
+    boost::asio::awaitable<boost::beast::error_code> readBody(Connection &connection, Parser &parser, ByteReservation &reservation);
+    /// Reads and drops what the caller sends until the connection ends.
+    boost::asio::awaitable<void> skipInput(Connection &connection);
     boost::asio::awaitable<void> answer(std::shared_ptr<Connection> connection, std::shared_ptr<Pending> pending, CallerRequest request);
     boost::asio::awaitable<void> writeLoop(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<void> discardUnread(std::shared_ptr<Connection> connection);
     void enqueue(const std::shared_ptr<Connection> &connection, std::shared_ptr<Pending> pending);
-    void refuse(const std::shared_ptr<Connection> &connection, const boost::beast::error_code &error);
+    void refuse(const std::shared_ptr<Connection> &connection, ErrorKind kind, const std::string &detail);
     void close(Connection &connection);
 
     boost::asio::any_io_executor executor;
     std::function<CallerLimits()> limits;
+    std::shared_ptr<ByteBudget> bodies; ///< Bodies of the requests in progress. Requests share it, since they may end later.
     Handler handler;
     Listener listener;
     std::list<std::shared_ptr<Connection>> connections;
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -402,7 +402,7 @@
     } else {
         this->repeats.onRequest(started);
     }
-    const PeerRequest request = this->toUpstreamRequest(offer, std::move(call.request), deadline - started);
+    PeerRequest request = this->toUpstreamRequest(offer, std::move(call.request), deadline - started);
     UpstreamCall upstreamCall;
     if (offer.idempotent) {
         call.cancellation.setAction([&upstreamCall] {
@@ -412,7 +412,7 @@
         });
     }
     this->listenForNotices(upstreamCall, offer.upstream);
-    auto response = co_await this->pool.request(request, offer.requestId, deadline, upstreamCall);
+    auto response = co_await this->pool.request(std::move(request), offer.requestId, deadline, upstreamCall);
     call.cancellation.setAction(nullptr);
     const TimePoint now = NodeClock::now();
     const OfferOutcome outcome = call.cancellation.isRequested() && !response.ok() ? OfferOutcome::Withdrawn : this->classify(response);
@@ -565,7 +565,7 @@
     request.headers.add(this->dialect.requiredUpstream, upstream);
     UpstreamCall call;
     this->listenForNotices(call, std::move(upstream));
-    const auto response = co_await this->pool.request(request, "", NodeClock::now() + healthCheckTimeout, call);
+    const auto response = co_await this->pool.request(std::move(request), "", NodeClock::now() + healthCheckTimeout, call);
     if (!response.ok()) {
         this->log.info("limit not checked", {{"detail", messageOf(response.status())}});
     }
--- a/galenarack/proxy/proxynode.cpp
+++ b/galenarack/proxy/proxynode.cpp
@@ -24,6 +24,9 @@
 /// connections between nodes. A buffer that grows needs up to three times the size of its contents for a moment.
 constexpr std::size_t transitMemoryShare = 8;
 
+/// Share of the memory of the process for the bodies of callers' requests. Each is held twice while it is sent to an upstream.
+constexpr std::size_t callerMemoryShare = 4;
+
 /// Maximum size of a reply of the registry. A value has up to 1 MB, and its encoding in a reply a third more; a watch returns
 /// all changes since the last one.
 constexpr std::size_t maxRegistryReplyBytes = std::size_t{8} * 1024 * 1024;
@@ -92,6 +95,7 @@
           [this] {
               return this->callerLimits();
           },
+          settings.memoryBytes / callerMemoryShare,
           [this](CallerRequest request, std::shared_ptr<Cancellation> cancellation) {
               return this->router.route(std::move(request), std::move(cancellation), this->follower.isCurrent());
           })
--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -26,19 +26,6 @@
 constexpr unsigned badGateway = 502;
 constexpr std::size_t uploadBytes = 12 * 1024 * 1024;
 
-/// @return largest resident size that the process has had, in KB
-std::size_t peakMemoryKb(pid_t process)
-{
-    constexpr std::string_view name = "VmHWM:";
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with(name)) {
-            return std::stoul(line.substr(name.size()));
-        }
-    }
-    return 0;
-}
-
 struct AnswerCase
 {
     const char *name;
--- a/processtests/support/childprocess.cpp
+++ b/processtests/support/childprocess.cpp
@@ -2,6 +2,8 @@
 
 #include <cerrno>
 #include <csignal>
+#include <fstream>
+#include <string_view>
 #include <system_error>
 #include <thread>
 
@@ -150,4 +152,16 @@
     return std::filesystem::path(GALENARACK_BINARY_DIR) / name;
 }
 
+std::size_t peakMemoryKb(pid_t process)
+{
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size()));
+        }
+    }
+    return 0;
+}
+
 } // namespace Galenarack
--- a/processtests/support/childprocess.h
+++ b/processtests/support/childprocess.h
@@ -56,6 +56,9 @@
     std::optional<int> exitStatus;
 };
 
+/// @return largest resident size that the process has had, in KB
+std::size_t peakMemoryKb(pid_t process);
+
 /// @return path of a program in the build folder, e.g. "standin-load"
 std::filesystem::path programPath(const std::string &name);
 
--- a/standins/common/httpserver.cpp
+++ b/standins/common/httpserver.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr std::size_t bodyLimit = std::size_t(8) << 20;
+constexpr std::size_t bodyLimit = std::size_t(64) << 20;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 /// @return the response as it is sent
