Cancel earlier requests when their caller leaves during a body that is dropped

Work would go on after its caller has closed the connection (GONE).

Cause: while the rest of a body that does not fit is dropped, the end of the connection cancelled nothing.

Evidence: CallerServerTest::callerThatLeavesEndsItsRequests, row 'a body that does not fit', failed before; the row without such a body passed.

Change: the requests in progress are cancelled as after any other end.

Measured: CallerServerTest passes.

--- a/galenarack/fleet/registryfollower.cpp
+++ b/galenarack/fleet/registryfollower.cpp
@@ -131,6 +131,7 @@
         co_return position.status();
     }
     if (open != this->openProbes.begin()) {
+        // An earlier probe without an answer was lost, so the outage had not ended when it started.
         this->lastFailedProbe = std::max(this->lastFailedProbe, *std::prev(open));
     }
     this->revisions.onHeard(*position, NodeClock::now());
--- a/galenarack/proxy/callerserver.cpp
+++ b/galenarack/proxy/callerserver.cpp
@@ -34,7 +34,7 @@
 /// Time for which the bytes that a caller still sends are read after the last response.
 constexpr Duration discardTimeout = std::chrono::seconds(2);
 
-/// Retry-After of a request whose body does not fit, in seconds. Requests with long bodies take about that long.
+/// Retry-After of a request whose body does not fit, in seconds.
 constexpr std::string_view bodyRetryAfter = "1";
 
 /// Time for receiving a body after its header, and for sending a response.
@@ -175,6 +175,13 @@
     }
 }
 
+void CallerServer::cancelUnanswered(const Connection &connection)
+{
+    for (const auto &pending : std::deque(connection.pending)) {
+        pending->cancellation->request();
+    }
+}
+
 asio::awaitable<void> CallerServer::readLoop(std::shared_ptr<Connection> connection)
 {
     for (;;) {
@@ -195,13 +202,12 @@
                 this->refuse(connection, ErrorKind::Overloaded, "the bodies of requests in progress leave no room for this one");
                 connection->changed.cancel();
                 co_await this->skipInput(*connection);
+                cancelUnanswered(*connection);
             } else if (isProtocolError(error)) {
                 this->refuse(connection, kindOfReadError(error), error.message());
             } else {
                 // The caller has closed the connection, so its responses cannot be delivered.
-                for (const auto &pending : std::deque(connection->pending)) {
-                    pending->cancellation->request();
-                }
+                cancelUnanswered(*connection);
             }
             break;
         }
--- a/galenarack/proxy/callerserver.h
+++ b/galenarack/proxy/callerserver.h
@@ -85,6 +85,8 @@
     boost::asio::awaitable<void> answer(std::shared_ptr<Connection> connection, std::shared_ptr<Pending> pending, CallerRequest request);
     boost::asio::awaitable<void> writeLoop(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<void> discardUnread(std::shared_ptr<Connection> connection);
+    /// Cancels the requests whose responses have not been sent.
+    static void cancelUnanswered(const Connection &connection);
     void enqueue(const std::shared_ptr<Connection> &connection, std::shared_ptr<Pending> pending);
     void refuse(const std::shared_ptr<Connection> &connection, ErrorKind kind, const std::string &detail);
     void close(Connection &connection);
--- a/unittests/callerservertest.cpp
+++ b/unittests/callerservertest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST_SUITE(CallerServerTest);
     CPPUNIT_TEST(endsConnectionOfACallerThatDoesNotRead);
     CPPUNIT_TEST(bodiesTogetherKeepTheLimit);
+    CPPUNIT_TEST(callerThatLeavesEndsItsRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +161,48 @@
         }
     }
 
+    /// Guards against work that goes on after its caller has closed the connection.
+    void callerThatLeavesEndsItsRequests()
+    {
+        const struct
+        {
+            const char *name;
+            std::string later; ///< What follows the request that is in progress.
+        } table[] = {
+            {"nothing", ""},
+            {"a body that does not fit", upload(150'000, false)},
+        };
+        for (const auto &row : table) {
+            asio::io_context context;
+            bool isCancelled = false;
+            CallerServer server(
+                context.get_executor(),
+                [] {
+                    return CallerLimits();
+                },
+                bodyBudget,
+                [&isCancelled, &context](CallerRequest, std::shared_ptr<Cancellation> cancellation) -> asio::awaitable<PeerResponse> {
+                    asio::steady_timer poll(context);
+                    while (!cancellation->isRequested()) {
+                        poll.expires_after(10ms);
+                        co_await poll.async_wait(asio::use_awaitable);
+                    }
+                    isCancelled = true;
+                    co_return PeerResponse();
+                });
+            CPPUNIT_ASSERT(server.listen(anyLoopbackPort()).ok());
+            {
+                asio::ip::tcp::socket caller(context);
+                caller.connect(server.address());
+                asio::write(caller, asio::buffer(requests(1) + row.later));
+                runFor(context, 200ms);
+                CPPUNIT_ASSERT_MESSAGE(row.name, !isCancelled);
+            }
+            runFor(context, 200ms);
+            CPPUNIT_ASSERT_MESSAGE(row.name, isCancelled);
+        }
+    }
+
 private:
     /// @return a request with a body of this size, in one chunk or with a length
     static std::string upload(std::size_t size, bool isChunked)
