--- a/unittests/weightedsplittest.cpp
+++ b/unittests/weightedsplittest.cpp
@@ -14,6 +14,7 @@
 std::vector<WeightedService> makeDestinations(const std::vector<std::uint32_t> &weights)
 {
     std::vector<WeightedService> destinations;
+    destinations.reserve(weights.size());
     for (const std::uint32_t weight : weights) {
         destinations.push_back({"s" + std::to_string(destinations.size()), weight});
     }
