--- a/review/standins-3/memorycase.cpp
+++ b/review/standins-3/memorycase.cpp
@@ -22,7 +22,7 @@
 constexpr unsigned burstCallers = 10; ///< 1.67 times as many.
 constexpr double caseSeconds = 90;
 constexpr double burstEvery = 10;
-constexpr double burstSeconds = 5;
+constexpr double burstSeconds = 3;
 constexpr unsigned allowedLosses = 3; ///< The rule counts more than these.
 
 /// @return whether many clients have come at once, at this time
