Log runs whose status says that the request has not run

A run that an upstream ended with 429 or 408 left no line at all; one with 503 left the status at the ingress, but nothing told whether the upstream had said Not-Executed or what the home made of it.

Change: `run ended` has a line for these statuses and for those from 500, with `states_not_run`. The statuses from which callers conclude that a request has not run are listed in the dialect of the platform.

--- a/galenarack/proxy/dialect.h
+++ b/galenarack/proxy/dialect.h
@@ -1,12 +1,20 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace Galenarack {
 
-/// Names of the header fields that the callers and upstreams of a deployment use, in lower case.
+/// Names of the header fields that the callers and upstreams of a deployment use, in lower case, and statuses with a special meaning.
 struct Dialect
 {
+    /// @return whether a response with this status tells a caller that the request has not run and never will
+    bool impliesNotRun(unsigned status) const
+    {
+        return std::ranges::find(this->notRunStatuses, status) != this->notRunStatuses.end();
+    }
+
     std::string requestId; ///< Request id, chosen by the caller and echoed by upstreams.
     std::string remainingMs; ///< Time for which the sender waits for the response, in milliseconds.
     std::string upstreamSignature; ///< Present on every response of an upstream.
@@ -16,6 +24,7 @@
     std::string requestLimit; ///< Requests per second that the upstream of a response takes from all nodes together.
     std::string leaving; ///< "1" on each response of an upstream that is shutting down.
     std::string callerService; ///< Service of the VM that the request comes from; set by the node.
+    std::vector<unsigned> notRunStatuses; ///< Statuses from which callers conclude that a request has not run and never will.
 };
 
 } // namespace Galenarack
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -416,13 +416,16 @@
     call.cancellation.setAction(nullptr);
     const TimePoint now = NodeClock::now();
     const OfferOutcome outcome = call.cancellation.isRequested() && !response.ok() ? OfferOutcome::Withdrawn : this->classify(response);
-    this->recordOutcome(offer, outcome, response.ok() ? response->status : 0, started, now);
-    this->log.write(outcome == OfferOutcome::Answered ? LogLevel::Debug : LogLevel::Info,
+    const unsigned status = response.ok() ? response->status : 0;
+    this->recordOutcome(offer, outcome, status, started, now);
+    const bool isOrdinary = outcome == OfferOutcome::Answered && status < serverError && !this->dialect.impliesNotRun(status);
+    this->log.write(isOrdinary ? LogLevel::Debug : LogLevel::Info,
                     "run ended",
                     {{"request_id", offer.requestId},
                      {"upstream", offer.upstream},
                      {"outcome", offerOutcomeName(outcome)},
-                     {"detail", response.ok() ? std::string("status ") + std::to_string(response->status) : messageOf(response.status())},
+                     {"detail", response.ok() ? std::string("status ") + std::to_string(status) : messageOf(response.status())},
+                     {"states_not_run", response.ok() && response->headers.find(this->dialect.notRun) ? "yes" : "no"},
                      {"waited_ms", toMilliseconds(started) - (toMilliseconds(deadline) - toMilliseconds(TimePoint(offer.remaining)))},
                      {"ran_ms", toMilliseconds(now) - toMilliseconds(started)},
                      {"running", static_cast<std::int64_t>(this->queue.running())},
