Answer 502 when an upstream fails a request with a status that implies it has not run

What callers saw: requests on a route that is not idempotent, which an upstream had run and failed with 503, 429 or 408 without Not-Executed, were answered with that status.

Cause: HomeService::classify() took each response without Not-Executed for one to pass on, and RequestRouter passed it on to callers, for whom these statuses are a promise.

Change: a new outcome of an offer, ambiguous, decided at the home. The ingress treats it as a run whose end is not known: 502 without a seal (upstream-answer-ambiguous) on routes that are not idempotent; another attempt, and 502 after the last one, on idempotent ones, which before ended with the first 429 or 408. An ingress also recognizes it in the report of a home of an earlier release.

Why it works: a response of an upstream reaches a caller only through the outcome answered, and no response with such a status has it any more.

The soak now fails requests with these statuses too, and checks the promise on idempotent routes as well. RawFleet moved into a file of its own, unchanged.

--- a/galenarack/core/errorkind.h
+++ b/galenarack/core/errorkind.h
@@ -45,6 +45,7 @@
     UpstreamAnswerCut,
     UpstreamAnswerInvalid,
     UpstreamAnswerTooLarge,
+    UpstreamAnswerAmbiguous,
     Overloaded,
     LedgerFull,
     StaleIncarnation,
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -418,7 +418,7 @@
     const OfferOutcome outcome = call.cancellation.isRequested() && !response.ok() ? OfferOutcome::Withdrawn : this->classify(response);
     const unsigned status = response.ok() ? response->status : 0;
     this->recordOutcome(offer, outcome, status, started, now);
-    const bool isOrdinary = outcome == OfferOutcome::Answered && status < serverError && !this->dialect.impliesNotRun(status);
+    const bool isOrdinary = outcome == OfferOutcome::Answered && status < serverError;
     this->log.write(isOrdinary ? LogLevel::Debug : LogLevel::Info,
                     "run ended",
                     {{"request_id", offer.requestId},
@@ -450,6 +450,9 @@
         if (response->headers.find(this->dialect.notRun) || response->status == misdirected) {
             return OfferOutcome::Rejected;
         }
+        if (this->dialect.impliesNotRun(response->status)) {
+            return OfferOutcome::Ambiguous;
+        }
         const bool isSuccess = response->status / 100 == 2;
         return isSuccess && !response->headers.find(this->dialect.upstreamSignature) ? OfferOutcome::Broken : OfferOutcome::Answered;
     }
@@ -468,12 +471,14 @@
 void HomeService::recordOutcome(const Offer &offer, OfferOutcome outcome, unsigned status, TimePoint started, TimePoint now)
 {
     const bool nestedRequestFailed = this->lastLocalFailureStart >= started;
-    if (outcome == OfferOutcome::Answered || outcome == OfferOutcome::Rejected) {
+    const bool isResponse = outcome == OfferOutcome::Answered || outcome == OfferOutcome::Ambiguous || outcome == OfferOutcome::Rejected;
+    if (isResponse) {
         this->rejectedShare.observe(outcome == OfferOutcome::Rejected, now);
         this->connectPause.onSuccess();
     }
     switch (outcome) {
     case OfferOutcome::Answered:
+    case OfferOutcome::Ambiguous:
         if (status < serverError) {
             this->observe(offer.failureDomain, RequestEvidence::Success, offer.requestId, now);
             this->queue.recordDuration(offer.route, now - started);
--- a/galenarack/proxy/offer.cpp
+++ b/galenarack/proxy/offer.cpp
@@ -29,8 +29,18 @@
 constexpr std::size_t leavingParts = 2;
 constexpr double milli = 1000;
 
-constexpr std::array<std::string_view, 11> outcomeNames
-    = {"answered", "busy", "ejected", "leaving", "expired", "rejected", "unconnected", "broken", "timed-out", "repeat-limit", "withdrawn"};
+constexpr std::array<std::string_view, 12> outcomeNames = {"answered",
+                                                           "busy",
+                                                           "ejected",
+                                                           "leaving",
+                                                           "expired",
+                                                           "rejected",
+                                                           "unconnected",
+                                                           "broken",
+                                                           "timed-out",
+                                                           "repeat-limit",
+                                                           "withdrawn",
+                                                           "ambiguous"};
 
 std::int64_t toMs(Duration duration)
 {
--- a/galenarack/proxy/offer.h
+++ b/galenarack/proxy/offer.h
@@ -56,6 +56,7 @@
     TimedOut, ///< The request was sent to the upstream, and no response was received before the deadline.
     RepeatLimit, ///< Declined: the retry allowance of the upstream is used up.
     Withdrawn, ///< The ingress cancelled the offer, or did not send the body of the request in time.
+    Ambiguous, ///< The upstream failed the request with a status that implies that it has not run, but does not say so itself.
 };
 
 /// @return stable name for messages and logs
--- a/galenarack/proxy/requestrouter.cpp
+++ b/galenarack/proxy/requestrouter.cpp
@@ -513,6 +513,10 @@
     attempt->done = true;
     if (attempt->result.ok()) {
         attempt->report = OfferReport::fromHeaders(attempt->result->headers);
+        // Homes of an earlier release report such a response as answered.
+        if (attempt->report && attempt->report->outcome == OfferOutcome::Answered && this->dialect.impliesNotRun(attempt->result->status)) {
+            attempt->report->outcome = OfferOutcome::Ambiguous;
+        }
     }
     this->recordOutcome(*context, *attempt);
     context->wake.cancel();
@@ -597,6 +601,9 @@
     case OfferOutcome::Broken:
     case OfferOutcome::TimedOut:
         return this->handleSent(context, attempt, true);
+    case OfferOutcome::Ambiguous:
+        context.uncertainKind = ErrorKind::UpstreamAnswerAmbiguous;
+        return this->handleSent(context, attempt, true);
     case OfferOutcome::Withdrawn:
         context.excluded.push_back(attempt.upstream);
         return NextStep::TryNext;
@@ -689,7 +696,7 @@
     const bool isCommitted = this->isRunning(context);
     if (context.mayHaveRun || isCommitted) {
         const bool isLate = timedOut || context.lastOutcome == OfferOutcome::TimedOut;
-        return this->refuse(context, isLate ? ErrorKind::Timeout : ErrorKind::PeerLost, Duration::zero());
+        return this->refuse(context, isLate ? ErrorKind::Timeout : context.uncertainKind, Duration::zero());
     }
     const TimePoint now = NodeClock::now();
     if (!timedOut && !this->mayStart(context, now)) {
--- a/galenarack/proxy/requestrouter.h
+++ b/galenarack/proxy/requestrouter.h
@@ -122,6 +122,7 @@
         std::optional<PeerResponse> failure; ///< Latest error response of an upstream; sent to the caller if all attempts fail.
         OfferOutcome lastOutcome = OfferOutcome::Unconnected;
         bool mayHaveRun = false; ///< An upstream ran the request, or may have run it.
+        ErrorKind uncertainKind = ErrorKind::PeerLost; ///< Reported when it is not known whether the request ran.
         Duration retryAfter{}; ///< Longest wait for a slot that a home has reported.
         std::optional<Duration> limitWait; ///< Shortest wait for room in the limit of an upstream, among those without room.
         bool hedged = false; ///< The time to send a hedge has passed, whether or not one was sent.
--- a/processtests/brokenanswertest.cpp
+++ b/processtests/brokenanswertest.cpp
@@ -1,10 +1,8 @@
 #include "support/fleetfixture.h"
-#include "support/platformfleet.h"
-#include "support/rawupstream.h"
+#include "support/rawfleet.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -19,7 +17,6 @@
 using namespace Galenarack;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 namespace {
 
@@ -36,58 +33,6 @@
     unsigned statusWithoutRegistry = 0; ///< Expected status of a node without a registry if it differs, else 0.
 };
 
-/// Two nodes; the upstream of the second one, which all routes lead to, sends raw bytes.
-class RawFleet
-{
-public:
-    static constexpr unsigned nodeCount = 2;
-
-    RawFleet()
-        : fleet(nodeCount)
-        , upstream(fleet.context)
-    {
-        this->fleet.maxBodyBytes = 2 * uploadBytes;
-        this->fleet.publishConfig("/read/");
-        this->fleet.setUpstreamAddress(1, this->upstream.address());
-        CPPUNIT_ASSERT(this->fleet.startAll());
-    }
-
-    /// Sends a request and waits for its end.
-    StandIns::Exchange send(unsigned node, const std::string &method, const std::string &target, const std::string &id, std::size_t bytes)
-    {
-        std::optional<StandIns::Exchange> result;
-        asio::co_spawn(this->fleet.context, this->exchange(node, method, target, id, bytes, result), asio::detached);
-        while (!result) {
-            this->fleet.runFor(10ms);
-        }
-        return *result;
-    }
-
-    /// Sends requests that get sound answers, so that the upstream is not ejected for those before.
-    void restoreHealth(unsigned node, const std::string &name)
-    {
-        for (int i = 0; i < 12; ++i) {
-            this->send(node, "GET", "/read/sound", "sound-" + name + std::to_string(i), 0);
-        }
-    }
-
-    asio::awaitable<void> exchange(
-        unsigned node, std::string method, std::string target, std::string id, std::size_t bytes, std::optional<StandIns::Exchange> &result)
-    {
-        constexpr auto deadline = 4s;
-        StandIns::HttpClient client(this->fleet.context, this->fleet.callerAddress(node, true));
-        StandIns::HttpRequest request(http::string_to_verb(method), target, 11);
-        request.set(http::field::host, "fleet.example");
-        request.set("Request-Id", id);
-        request.set("Deadline-Ms", std::to_string(std::chrono::milliseconds(deadline).count()));
-        request.body() = std::string(bytes, 'x');
-        result = co_await client.exchange(std::move(request), deadline + 1500ms);
-    }
-
-    PlatformFleet fleet;
-    RawUpstream upstream;
-};
-
 const std::vector<AnswerCase> &answerCases()
 {
     const std::string ok = "HTTP/1.1 200 OK";
--- a/processtests/soaktest.cpp
+++ b/processtests/soaktest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <random>
@@ -29,6 +30,9 @@
 /// Longest time that the platform allows until a new configuration is in force at all nodes.
 constexpr auto maxConfigDelay = 2000ms;
 
+/// Statuses with which an upstream ends the requests that it runs: successes and, as often, failures.
+constexpr std::array<unsigned, 8> upstreamStatuses = {500, 503, 429, 408, 200, 200, 200, 200};
+
 /// Collects violations of the guarantees that callers and upstreams observe.
 struct ViolationRecorder
 {
@@ -168,7 +172,8 @@
             this->fleet.registry.setReachable(this->randomBelow(2) == 0);
             break;
         case 4:
-            this->fleet.upstreams[node]->behaviour.status = this->randomBelow(2) == 0 ? 500 : 200;
+            this->fleet.upstreams[node]->behaviour.status
+                = upstreamStatuses[this->randomBelow(static_cast<unsigned>(upstreamStatuses.size()))];
             break;
         case 5:
             this->fleet.upstreams[node]->behaviour.rejects = this->randomBelow(2) == 0;
@@ -292,7 +297,7 @@
             const CallResult &result = request.result;
             this->recorder.check(request.idempotent || runs <= 1, id + " is not idempotent and ran " + std::to_string(runs) + " times");
             const bool reportedNotRun = result.status == 503 || result.status == 429 || result.status == 408 || result.status == 421;
-            this->recorder.check(request.idempotent || !reportedNotRun || runs == 0, id + " was reported as not run and ran");
+            this->recorder.check(!reportedNotRun || runs == 0, id + " was reported as not run and ran");
             if (result.status == 200) {
                 this->recorder.check(result.isSigned && result.echoedId == id && result.body == "ran " + id,
                                      id + " got the response to another request");
@@ -450,7 +455,8 @@
     /// Guards against work that runs twice, refusals that falsely state that work has not run, responses that belong to another
     /// request, and a fleet that does not recover. Faults occur in random order: nodes are killed, stopped, paused and restarted,
     /// paths are delayed, silent in one or both directions or reset, the registry is unreachable or silent, loses replies or cuts
-    /// watches, and upstreams fail, drain or send rejections twice. Some callers keep their connections.
+    /// watches, and upstreams fail, also with statuses that imply that a request has not run, drain or send rejections twice. Some
+    /// callers keep their connections.
     void keepsGuaranteesUnderFaults()
     {
         for (const unsigned seed : seeds()) {
--- a/processtests/support/rawupstream.cpp
+++ b/processtests/support/rawupstream.cpp
@@ -72,16 +72,18 @@
         const std::size_t unreadBytes = (length.empty() ? 0 : std::stoul(length)) - (buffer.size() - headBytes);
         buffer.clear();
         ++this->arrivals[id];
-        const std::string own = "\r\n" + this->idField + ": " + id + "\r\nServer-Seal: seal\r\n";
+        const std::string echo = "\r\n" + this->idField + ": " + id + "\r\n";
+        const std::string seal = "Server-Seal: seal\r\n";
         asio::steady_timer timer(socket.get_executor(), this->delay);
         co_await timer.async_wait(awaitTuple);
         if (head.find("/sound HTTP/") != std::string::npos) {
-            const std::string bytes = "HTTP/1.1 200 OK" + own + "Content-Length: 5\r\n\r\nsound";
+            const std::string bytes = "HTTP/1.1 200 OK" + echo + seal + "Content-Length: 5\r\n\r\nsound";
             co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
             continue;
         }
         const RawAnswer now = this->answer;
-        const std::string bytes = now.statusLine + own + now.fields + (now.endlessPart.empty() ? "\r\n" : "") + now.body;
+        const std::string bytes
+            = now.statusLine + echo + (now.isSigned ? seal : "") + now.fields + (now.endlessPart.empty() ? "\r\n" : "") + now.body;
         co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
         if (!now.endlessPart.empty()) {
             co_await this->sendWithoutEnd(socket, now.endlessPart);
--- a/processtests/support/rawupstream.h
+++ b/processtests/support/rawupstream.h
@@ -24,12 +24,13 @@
 /// Bytes with which a RawUpstream answers, sent once the header of a request has been read.
 struct RawAnswer
 {
-    std::string statusLine; ///< Without its line end. The id of the request and a seal follow it as header fields.
+    std::string statusLine; ///< Without its line end. The id of the request and, if isSigned, a seal follow it as header fields.
     std::string fields; ///< Further header fields, each with its line end.
     std::string body; ///< Bytes after the header section.
     RawEnd end = RawEnd::Close;
     /// Bytes that are repeated after the fields, without a blank line before them, until the connection is closed; may be empty.
     std::string endlessPart{};
+    bool isSigned = true; ///< Whether the answer carries a seal.
 };
 
 /// In-process stand-in for an upstream that sends any bytes as its answer. Requests whose target ends
--- a/unittests/requesttracetest.cpp
+++ b/unittests/requesttracetest.cpp
@@ -58,6 +58,12 @@
              "answered with status 500",
              {"request answered"},
              0},
+            {"upstream failed the request and its status implies that it has not run",
+             R"({"time":"2026-12-04T10:00:02.500Z","component":"router","message":"request refused","request_id":"r1","error_kind":"upstream-answer-ambiguous","last_outcome":"ambiguous"})",
+             R"({"time":"2026-12-04T10:00:02.499Z","component":"home","message":"run ended","request_id":"r1","upstream":"i-2","outcome":"ambiguous","detail":"status 429","states_not_run":"no"})",
+             "may have run",
+             {"run ended", "request refused"},
+             0},
             {"unknown", "", "", "no log line has this request id", {}, 0},
         };
         for (const TraceCase &row : cases) {
