Count ambiguous answers as failures of the upstream, whatever their status

What callers saw: an upstream that fails everything with 429 or 408, without Not-Executed, kept its full share of the requests (60 of 60 in the test; with 500 or 503 at most a quarter), and idempotent requests were refused once the retry allowance was used up.

Cause: HomeService::recordOutcome() took each response below 500 for a success: evidence of health, a usual duration, and the next trial at once.

Change: the outcome ambiguous is evidence of a failure, and is left out of durations and slowness. Why it works: the outcome no longer depends on which of the statuses the upstream chose.

--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -478,7 +478,6 @@
     }
     switch (outcome) {
     case OfferOutcome::Answered:
-    case OfferOutcome::Ambiguous:
         if (status < serverError) {
             this->observe(offer.failureDomain, RequestEvidence::Success, offer.requestId, now);
             this->queue.recordDuration(offer.route, now - started);
@@ -491,6 +490,11 @@
             this->observe(offer.failureDomain, RequestEvidence::Failure, offer.requestId, now);
         }
         break;
+    case OfferOutcome::Ambiguous:
+        if (!nestedRequestFailed) {
+            this->observe(offer.failureDomain, RequestEvidence::Failure, offer.requestId, now);
+        }
+        break;
     case OfferOutcome::Unconnected:
         this->connectPause.onFailure(now);
         break;
--- a/processtests/ambiguousanswertest.cpp
+++ b/processtests/ambiguousanswertest.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(otherAnswersKeepTheirMeaning);
     CPPUNIT_TEST(idempotentRequestIsSentToAnotherUpstream);
     CPPUNIT_TEST(laterAttemptHidesNoEarlierRun);
+    CPPUNIT_TEST(failingUpstreamLosesItsShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,7 +192,7 @@
         for (const unsigned status : ambiguousStatuses) {
             TwoUpstreamFleet rig;
             rig.preferred().status = status;
-            for (unsigned i = 0; i < 3; ++i) {
+            for (unsigned i = 0; i < 20; ++i) {
                 const std::string id = "i" + std::to_string(i);
                 const CallResult result = rig.fleet.sendAndWait(0, "GET", "/read/x", id);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200U, result.status);
@@ -244,6 +245,32 @@
             }
         }
     }
+
+    /// Guards against an upstream that fails all its requests with 429 or 408, is taken for a sound and fast one, and keeps its share of
+    /// the requests.
+    void failingUpstreamLosesItsShare()
+    {
+        constexpr unsigned requestCount = 60;
+        const Path callerPaths[] = {paths[0], paths[2]};
+        for (const unsigned status : {408U, 429U, 500U, 503U}) {
+            for (const Path &path : callerPaths) {
+                TwoUpstreamFleet rig;
+                rig.preferred().status = status;
+                rig.preferred().processingTime = 1ms;
+                unsigned served = 0;
+                for (unsigned i = 0; i < requestCount; ++i) {
+                    const CallResult result = rig.fleet.sendAndWait(i % 2, path.method, path.target, "s" + std::to_string(i));
+                    served += result.status == 200 ? 1 : 0;
+                }
+                const std::string name = std::to_string(status) + ", " + path.name;
+                const auto runs = static_cast<unsigned>(rig.fleet.upstreams[1]->runs.size());
+                // Both nodes prefer the upstream while it is healthy: it is in their failure domain.
+                CPPUNIT_ASSERT_MESSAGE(name, runs >= 1);
+                CPPUNIT_ASSERT_MESSAGE(name + ": " + std::to_string(runs) + " runs", runs <= requestCount / 4);
+                CPPUNIT_ASSERT_MESSAGE(name + ": " + std::to_string(served) + " served", served >= requestCount * 3 / 4);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousAnswerTest);
