Without a registry, take a 503 with Retry-After for not run only if it says so

What callers saw: work that is not repeatable ran twice, at an upstream that ran it and answered 503 with Retry-After, and at another one. Where no further attempt was allowed, they were told that the work had not run.

Cause: HomeNode::interpret() read the status and the field as load shedding without a run, after the request was dispatched. Nothing promises that: design.md and RFC 9110 leave it open.

Change: only `Galenarack-Execution: not-run` of the upstream states it. Otherwise the error is upstream-answer-ambiguous, may have run. The stand-in of upstreams states it when it sheds load. Why it works: the ledger and the ingress follow the execution of the error kind, which is no longer drawn from the status.

--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -297,6 +297,7 @@
     }
     switch (errorKindOf(result.status())) {
     case ErrorKind::UpstreamShedding:
+    case ErrorKind::UpstreamAnswerAmbiguous:
         this->observeSystem.finish(*row, token, SampleOutcome::Shed, now, std::chrono::seconds(1));
         break;
     case ErrorKind::UpstreamAnswerCut:
@@ -352,7 +353,10 @@
     row.lastResponse = NodeClock::now();
     this->applyDrainSignal(row, response->headers.find(drainField) == "1", "drain header");
     if (response->status == serviceUnavailable && response->headers.find(retryAfterField)) {
-        return makeError(ErrorKind::UpstreamShedding, "the upstream rejected the request because it sheds load");
+        const bool statesNotRun = response->headers.find(PeerHeader::execution) == executionName(Execution::NotRun);
+        return statesNotRun
+                   ? makeError(ErrorKind::UpstreamShedding, "the upstream rejected the request because it sheds load")
+                   : makeError(ErrorKind::UpstreamAnswerAmbiguous, "the upstream sheds load and does not state whether the request ran");
     }
     return response;
 }
--- a/galenarack/ingress/requestforwarder.cpp
+++ b/galenarack/ingress/requestforwarder.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::string_view timeoutField = "galenarack-timeout-ms";
-constexpr std::string_view executionField = "galenarack-execution";
 constexpr std::string_view keyField = "idempotency-key";
 
 /// Account of requests that name none.
@@ -55,7 +54,7 @@
     response.status = row.httpStatus;
     response.headers.add("content-type", "application/problem+json");
     response.headers.add(PeerHeader::error, row.name);
-    response.headers.add(executionField, executionName(execution));
+    response.headers.add(PeerHeader::execution, executionName(execution));
     if (suggestsRetry(row.httpStatus)) {
         response.headers.add("retry-after", "1");
     }
--- a/galenarack/peer/peermessage.h
+++ b/galenarack/peer/peermessage.h
@@ -70,6 +70,7 @@
 inline constexpr std::string_view mayQueue = "galenarack-may-queue"; ///< "0": the home refuses the request at once when no slot is free.
 inline constexpr std::string_view serviceMedianUs = "galenarack-service-median-us";
 inline constexpr std::string_view error = "galenarack-error"; ///< Name of the ErrorKind of a failed request.
+inline constexpr std::string_view execution = "galenarack-execution"; ///< Name of an Execution: of failed work, or stated by an upstream.
 inline constexpr std::string_view load = "galenarack-load"; ///< Load of the upstream: "in flight,queued,slots".
 inline constexpr std::string_view state = "galenarack-state"; ///< Health of the upstream: "state,cause,severity,weight".
 inline constexpr std::string_view latencyUs = "galenarack-latency-us"; ///< Latency in microseconds and its route class: "latency,class".
--- a/processtests/support/rawupstream.cpp
+++ b/processtests/support/rawupstream.cpp
@@ -71,12 +71,13 @@
         const std::string length = fieldOf(head, "content-length");
         const std::size_t unreadBytes = (length.empty() ? 0 : std::stoul(length)) - (buffer.size() - headBytes);
         buffer.clear();
-        ++this->arrivals[id];
+        const bool isCheck = this->answersChecks && (head.starts_with("GET /health ") || head.starts_with("GET /drain "));
+        this->arrivals[id] += isCheck ? 0 : 1;
         const std::string echo = "\r\n" + this->idField + ": " + id + "\r\n";
         const std::string seal = "Server-Seal: seal\r\n";
         asio::steady_timer timer(socket.get_executor(), this->delay);
         co_await timer.async_wait(awaitTuple);
-        if (head.find("/sound HTTP/") != std::string::npos) {
+        if (isCheck || head.find("/sound HTTP/") != std::string::npos) {
             const std::string bytes = "HTTP/1.1 200 OK" + echo + seal + "Content-Length: 5\r\n\r\nsound";
             co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
             continue;
--- a/processtests/support/rawupstream.h
+++ b/processtests/support/rawupstream.h
@@ -48,6 +48,7 @@
     }
 
     RawAnswer answer; ///< Answer to the next requests.
+    bool answersChecks = false; ///< Whether health checks and polls of its drain signal get a valid answer, and are no arrivals.
     std::chrono::milliseconds delay{0}; ///< Time between receipt of a request's header and the answer.
     std::size_t endlessBytes = 0; ///< Number of bytes sent as RawAnswer::endlessPart.
     std::map<std::string, unsigned> arrivals; ///< Number of arrivals, by request id.
--- a/standins/upstream/upstreamconnection.cpp
+++ b/standins/upstream/upstreamconnection.cpp
@@ -31,6 +31,7 @@
 constexpr std::string_view keyHeader = "idempotency-key";
 constexpr std::string_view tokenHeader = "x-load-token";
 constexpr std::string_view drainHeader = "Galenarack-Drain";
+constexpr std::string_view executionHeader = "Galenarack-Execution";
 constexpr std::string_view json = "application/json";
 
 /// Interval at which a hanging or stuck run checks whether the fault has been cleared.
@@ -219,6 +220,7 @@
     HttpResponse response = makeResponse(request, status, "text/plain", std::string(reason) + "\n");
     if (status == 503) {
         response.set(http::field::retry_after, "1");
+        response.set(executionHeader, "not-run");
     }
     this->addFleetHeaders(response, headerValue(request, requestIdHeader));
     return response;
--- a/standins/upstream/upstreamconnection.h
+++ b/standins/upstream/upstreamconnection.h
@@ -40,7 +40,8 @@
     /// Starts to watch the socket: sets peerClosed and cancels the timer when the peer closes the connection.
     void watchPeer();
 
-    /// @return a plain-text response with `reason` as its body, and with Retry-After when the status is 503
+    /// @return a plain-text response with `reason` as its body, and with Retry-After and the statement that the request has not run when
+    /// the status is 503
     HttpResponse makeTextResponse(const HttpRequest &request, unsigned status, std::string_view reason) const;
     /// Adds the request id, if echo is set, and the drain signal, if the upstream is draining.
     void addFleetHeaders(HttpResponse &response, std::string_view requestId) const;
--- a/standins/upstream/upstreamsettings.h
+++ b/standins/upstream/upstreamsettings.h
@@ -25,7 +25,7 @@
     double wrongShare = 0.0; ///< Share of runs answered with the response to an earlier request.
     double truncatedShare = 0.0; ///< Share of responses whose body is truncated, after which the connection is closed.
     double overlongShare = 0.0; ///< Share of responses followed by bytes beyond their Content-Length.
-    double shedShare = 0.0; ///< Share of requests rejected with 503 and Retry-After without a run.
+    double shedShare = 0.0; ///< Share of requests rejected with 503 and Retry-After without a run, as they state.
     std::uint32_t stuckSlots = 0; ///< Number of slots, counted from the first, in which runs do not end.
 
     double flapPeriodMs = 0.0; ///< Faults are present in the first half of each period; 0 means always.
