Drop fields of nodes from the responses of upstreams

Cause: homes added their fields behind those of the upstream, and the ingress reads the first one. So the upstream's field stood for a refusal by its home, which means not run.

Evidence: the same statuses without the field are passed on after one run.

Change: both homes remove fields with the prefix of nodes from a response of an upstream. Why it works: what an ingress finds then comes from the home alone.

Tests: SheddingTest::errorPassedOnByUpstreamIsNoRefusal and AmbiguousAnswerTest::reportOfUpstreamIsIgnored failed before.

--- a/galenarack/home/homenode.cpp
+++ b/galenarack/home/homenode.cpp
@@ -352,8 +352,10 @@
     }
     row.lastResponse = NodeClock::now();
     this->applyDrainSignal(row, response->headers.find(drainField) == "1", "drain header");
+    const bool statesNotRun = response->headers.find(PeerHeader::execution) == executionName(Execution::NotRun);
+    // Homes answer with fields of this prefix. An upstream may pass on those that it got for a request of its own.
+    response->headers.removeWithPrefix(PeerHeader::prefix);
     if (response->status == serviceUnavailable && response->headers.find(retryAfterField)) {
-        const bool statesNotRun = response->headers.find(PeerHeader::execution) == executionName(Execution::NotRun);
         return statesNotRun
                    ? makeError(ErrorKind::UpstreamShedding, "the upstream rejected the request because it sheds load")
                    : makeError(ErrorKind::UpstreamAnswerAmbiguous, "the upstream sheds load and does not state whether the request ran");
--- a/galenarack/peer/peermessage.cpp
+++ b/galenarack/peer/peermessage.cpp
@@ -19,6 +19,13 @@
     return field->value;
 }
 
+void HeaderList::removeWithPrefix(std::string_view prefix)
+{
+    std::erase_if(this->fields, [prefix](const HeaderField &field) {
+        return field.name.starts_with(prefix);
+    });
+}
+
 std::optional<std::int64_t> HeaderList::findNumber(std::string_view name) const
 {
     const auto text = this->find(name);
--- a/galenarack/peer/peermessage.h
+++ b/galenarack/peer/peermessage.h
@@ -28,6 +28,9 @@
     /// @return the value of the first field with that name as a decimal number, or nothing when it is missing or malformed
     std::optional<std::int64_t> findNumber(std::string_view name) const;
 
+    /// Removes all fields whose lower-case name begins with `prefix`.
+    void removeWithPrefix(std::string_view prefix);
+
     /// @return all fields, in order
     const std::vector<HeaderField> &all() const
     {
--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -414,6 +414,10 @@
     this->listenForNotices(upstreamCall, offer.upstream);
     auto response = co_await this->pool.request(std::move(request), offer.requestId, deadline, upstreamCall);
     call.cancellation.setAction(nullptr);
+    if (response.ok()) {
+        // Only a home reports to an ingress.
+        response->headers.removeWithPrefix(PeerHeader::prefix);
+    }
     const TimePoint now = NodeClock::now();
     const OfferOutcome outcome = call.cancellation.isRequested() && !response.ok() ? OfferOutcome::Withdrawn : this->classify(response);
     const unsigned status = response.ok() ? response->status : 0;
--- a/processtests/ambiguousanswertest.cpp
+++ b/processtests/ambiguousanswertest.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(idempotentRequestIsSentToAnotherUpstream);
     CPPUNIT_TEST(laterAttemptHidesNoEarlierRun);
     CPPUNIT_TEST(failingUpstreamLosesItsShare);
+    CPPUNIT_TEST(reportOfUpstreamIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,6 +272,30 @@
             }
         }
     }
+
+    /// Guards against a request that runs twice, or an error that a caller takes for not run, because the answer of the upstream has a
+    /// field with which homes report how an offer ended.
+    void reportOfUpstreamIsIgnored()
+    {
+        // Number of the outcome, then load, times and health as in OfferReport.
+        const std::string rejected = "Galenarack-Report: 5 0 0 1 0 100 0 0 0\r\n";
+        const std::string busy = "Galenarack-Report: 1 0 0 1 0 100 0 0 0\r\n";
+        RawFleet raw;
+        std::string mismatches;
+        unsigned count = 0;
+        for (const std::string &report : {rejected, busy}) {
+            for (const Path &path : {paths[0], paths[1]}) {
+                const std::string id = "o" + std::to_string(count++);
+                raw.restoreHealth(path.node, id);
+                raw.upstream.answer = makeAnswer(500, report);
+                const StandIns::Exchange seen = raw.send(path.node, path.method, path.target, id, 0);
+                if (seen.response.result_int() != 500 || seen.response.count("Server-Seal") == 0 || raw.upstream.arrivals[id] != 1) {
+                    mismatches += report + path.name + ", " + std::to_string(raw.upstream.arrivals[id]) + " arrivals: " + describe(seen);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousAnswerTest);
--- a/processtests/sheddingtest.cpp
+++ b/processtests/sheddingtest.cpp
@@ -78,6 +78,7 @@
 {
     CPPUNIT_TEST_SUITE(SheddingTest);
     CPPUNIT_TEST(unstatedRejectionIsNotRepeated);
+    CPPUNIT_TEST(errorPassedOnByUpstreamIsNoRefusal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +154,47 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), mismatches);
     }
+
+    /// Guards against work that is not repeatable and runs twice, because its upstream has called another service through the fleet and
+    /// passes on the error that it got with all fields: the home of the upstream then seems to have refused the work itself.
+    void errorPassedOnByUpstreamIsNoRefusal()
+    {
+        constexpr unsigned minRequests = 24;
+        constexpr unsigned maxRequests = 240;
+        const struct
+        {
+            const char *statusLine;
+            const char *fields;
+            unsigned status; ///< Expected status of requests that end with it.
+        } table[] = {
+            {"HTTP/1.1 503 Service Unavailable", "Galenarack-Error: draining\r\nGalenarack-Execution: not-run\r\n", serviceUnavailable},
+            {"HTTP/1.1 500 Internal Server Error", "Galenarack-Error: overloaded\r\n", 500},
+        };
+        std::string mismatches;
+        for (const auto &row : table) {
+            SheddingFleet rig("lodging");
+            rig.upstream.answer = {row.statusLine, "Connection: close\r\nContent-Length: 2\r\n" + std::string(row.fields), "no"};
+            unsigned served = 0;
+            unsigned sent = 0;
+            // The stand-in answers no checks while the nodes start, so its home may have ejected it for some seconds.
+            for (; sent < minRequests || (rig.arrivals() == 0 && sent < maxRequests); ++sent) {
+                rig.runFor(sent < minRequests ? 0ms : 50ms);
+                TestRequest request;
+                request.method = "POST";
+                request.target = "/lodging";
+                const TestReply reply = rig.send(request);
+                served += reply.status == 200 ? 1 : 0;
+                if (reply.status != 200 && (reply.status != row.status || !reply.error.empty())) {
+                    mismatches += std::string(row.statusLine) + ": " + reply.describe() + "\n";
+                }
+            }
+            if (rig.arrivals() == 0 || served + rig.arrivals() != sent) {
+                mismatches += std::string(row.statusLine) + ": " + std::to_string(rig.arrivals()) + " arrivals, " + std::to_string(served)
+                              + " served, " + std::to_string(sent) + " sent\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), mismatches);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SheddingTest);
