--- a/galenarack/proxy/homeservice.cpp
+++ b/galenarack/proxy/homeservice.cpp
@@ -415,7 +415,7 @@
     auto response = co_await this->pool.request(std::move(request), offer.requestId, deadline, upstreamCall);
     call.cancellation.setAction(nullptr);
     if (response.ok()) {
-        // Only a home reports to an ingress.
+        // Fields with the prefix of nodes come from homes alone.
         response->headers.removeWithPrefix(PeerHeader::prefix);
     }
     const TimePoint now = NodeClock::now();
