Return freed blocks from 1 MB to the system

In bursts of bodies of 33 MB nodes exceeded 260 MB and were killed; requests that had been passed on ended without an answer.

Cause: the allocator of the C library raises the size from which it maps blocks by themselves, up to 32 MB, when it frees such a block. Later bodies came from the heap and stayed there after they were freed.

Change: the daemon fixes the size at 1 MB. Why it works: the memory of a body ends with the body.

The folders of tests are kept on request, to read logs.

--- a/galenarackd/main.cpp
+++ b/galenarackd/main.cpp
@@ -1,3 +1,4 @@
+#include <galenarack/core/allocator.h>
 #include <galenarack/core/errorkind.h>
 #include <galenarack/core/log.h>
 #include <galenarack/node/node.h>
@@ -174,6 +175,7 @@
 
 int main(int argc, char **argv)
 {
+    Galenarack::returnLargeBlocks();
     std::signal(SIGPIPE, SIG_IGN);
     // SIGHUP must not end the process before it is handled.
     std::signal(SIGHUP, SIG_IGN);
--- a/processtests/support/temporaryfolder.cpp
+++ b/processtests/support/temporaryfolder.cpp
@@ -17,6 +17,9 @@
 
 TemporaryFolder::~TemporaryFolder()
 {
+    if (std::getenv("GALENARACK_KEEP_TEST_FOLDERS") != nullptr) {
+        return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(this->folder, ignored);
 }
--- a/processtests/support/temporaryfolder.h
+++ b/processtests/support/temporaryfolder.h
@@ -4,7 +4,8 @@
 
 namespace Galenarack {
 
-/// A folder for temporary files that is removed, with its contents, when this object is destroyed.
+/// A folder for temporary files that is removed, with its contents, when this object is destroyed. With the environment variable
+/// GALENARACK_KEEP_TEST_FOLDERS it is kept, so that the logs of a failed test can be read.
 class TemporaryFolder
 {
 public:
--- a/processtests/uploadtest.cpp
+++ b/processtests/uploadtest.cpp
@@ -37,6 +37,7 @@
 {
     CPPUNIT_TEST_SUITE(UploadTest);
     CPPUNIT_TEST(uploadsKeepTheMemoryLimit);
+    CPPUNIT_TEST(repeatedUploadsKeepTheMemoryLimit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,7 +70,7 @@
                 asio::co_spawn(
                     fleet.context,
                     [&fleet, &row, &open, &served, i]() -> asio::awaitable<void> {
-                        served += co_await upload(fleet, "u" + std::to_string(i), row.bytes, row.isChunked) == 200 ? 1 : 0;
+                        served += co_await upload(fleet, uploadNode, "u" + std::to_string(i), row.bytes, row.isChunked) == 200 ? 1 : 0;
                         --open;
                     },
                     asio::detached);
@@ -85,15 +86,58 @@
         }
     }
 
+    /// Guards against a node that exceeds the memory of its process because the bodies of uploads that have ended still take it: blocks
+    /// that are freed among others in use stay in the heap.
+    void repeatedUploadsKeepTheMemoryLimit()
+    {
+        constexpr unsigned nodeCount = 4;
+        constexpr unsigned callersPerNode = 2;
+        constexpr unsigned rounds = 8;
+        constexpr std::array<std::size_t, 3> sizes = {33'000'000, 24'000'000, 30'000'000};
+        PlatformFleet fleet(nodeCount);
+        fleet.maxBodyBytes = maxBodyBytes;
+        CPPUNIT_ASSERT(fleet.startAll());
+        fleet.publishConfig("/read/");
+        fleet.runFor(1s);
+        unsigned open = nodeCount * callersPerNode;
+        unsigned served = 0;
+        for (unsigned caller = 0; caller < nodeCount * callersPerNode; ++caller) {
+            asio::co_spawn(
+                fleet.context,
+                [&fleet, &sizes, &open, &served, caller]() -> asio::awaitable<void> {
+                    for (unsigned round = 0; round < rounds; ++round) {
+                        const std::string id = "r" + std::to_string(caller) + "-" + std::to_string(round);
+                        const std::size_t bytes = sizes[(caller + round) % sizes.size()];
+                        served += co_await upload(fleet, caller % nodeCount, id, bytes, false) == 200 ? 1 : 0;
+                    }
+                    --open;
+                },
+                asio::detached);
+        }
+        while (open > 0) {
+            fleet.runFor(20ms);
+        }
+        std::string peaks;
+        bool isExceeded = false;
+        for (const auto &process : fleet.processes) {
+            CPPUNIT_ASSERT(process->isRunning());
+            const std::size_t peak = peakMemoryKb(process->processId());
+            isExceeded = isExceeded || peak == 0 || peak >= memoryKb;
+            peaks += std::to_string(peak) + " KB ";
+        }
+        CPPUNIT_ASSERT_MESSAGE("peaks " + peaks, !isExceeded);
+        CPPUNIT_ASSERT(served > 0);
+    }
+
 private:
     /// Sends a body in pieces.
     /// @return status of the answer, 0 without one
-    static asio::awaitable<unsigned> upload(PlatformFleet &fleet, std::string id, std::size_t bytes, bool isChunked)
+    static asio::awaitable<unsigned> upload(PlatformFleet &fleet, unsigned node, std::string id, std::size_t bytes, bool isChunked)
     {
         constexpr std::size_t pieceBytes = 256 * 1024;
         const std::string piece(pieceBytes, 'x');
         StandIns::Tcp::socket socket(fleet.context);
-        co_await socket.async_connect(fleet.callerAddress(uploadNode, true), asTuple);
+        co_await socket.async_connect(fleet.callerAddress(node, true), asTuple);
         const std::string framing = isChunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(bytes);
         const std::string head = "POST /write/x HTTP/1.1\r\nHost: fleet.example\r\nRequest-Id: " + id
                                  + "\r\nDeadline-Ms: 6000\r\nConnection: close\r\n" + framing + "\r\n\r\n";
