--- a/processtests/sheddingtest.cpp
+++ b/processtests/sheddingtest.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <future>
 #include <numeric>
 #include <string>
@@ -43,6 +44,21 @@
         this->context.run_for(time);
     }
 
+    /// Sends a number of requests, and more until the condition holds. The upstream answers no checks while the nodes start, so its home
+    /// may have ejected it for some seconds.
+    /// @return number of requests sent
+    unsigned sendUntil(const std::function<bool(unsigned sent)> &condition, const std::function<void()> &sendOne)
+    {
+        constexpr unsigned minRequests = 24;
+        constexpr unsigned maxRequests = 240;
+        unsigned sent = 0;
+        for (; sent < minRequests || (!condition(sent) && sent < maxRequests); ++sent) {
+            this->runFor(sent < minRequests ? 0ms : 50ms);
+            sendOne();
+        }
+        return sent;
+    }
+
     /// @return number of requests that have arrived at the upstream
     std::size_t arrivals() const
     {
@@ -86,8 +102,6 @@
     /// taken for not run, and against work that surely has not run and is not sent to another upstream.
     void unstatedRejectionIsNotRepeated()
     {
-        constexpr unsigned minRequests = 24;
-        constexpr unsigned maxRequests = 240;
         const struct
         {
             const char *name;
@@ -126,10 +140,10 @@
             rig.upstream.answer
                 = {"HTTP/1.1 503 Service Unavailable", "Connection: close\r\nContent-Length: 2\r\n" + std::string(row.fields), "no"};
             unsigned served = 0;
-            unsigned sent = 0;
-            // The stand-in answers no checks while the nodes start, so its home may have ejected it for some seconds.
-            for (; sent < minRequests || (rig.arrivals() == 0 && sent < maxRequests); ++sent) {
-                rig.runFor(sent < minRequests ? 0ms : 50ms);
+            const auto isReached = [&](unsigned sent) {
+                return rig.arrivals() > (row.mayRepeat ? sent - served : 0);
+            };
+            const unsigned sent = rig.sendUntil(isReached, [&] {
                 TestRequest request;
                 request.method = row.method;
                 request.target = row.target;
@@ -145,9 +159,9 @@
                         mismatches += std::string(row.name) + ": " + reply.describe() + "\n";
                     }
                 }
-            }
-            const std::size_t once = served + rig.arrivals();
-            if (rig.arrivals() == 0 || rig.otherRuns() != served || (row.mayRepeat ? once <= sent : once != sent)) {
+            });
+            const bool isOnce = served + rig.arrivals() == sent;
+            if (!isReached(sent) || rig.otherRuns() != served || (!row.mayRepeat && !isOnce)) {
                 mismatches += std::string(row.name) + ": " + std::to_string(rig.arrivals()) + " arrivals, "
                               + std::to_string(rig.otherRuns()) + " runs at other upstreams, " + std::to_string(served) + " served\n";
             }
@@ -159,8 +173,6 @@
     /// passes on the error that it got with all fields: the home of the upstream then seems to have refused the work itself.
     void errorPassedOnByUpstreamIsNoRefusal()
     {
-        constexpr unsigned minRequests = 24;
-        constexpr unsigned maxRequests = 240;
         const struct
         {
             const char *statusLine;
@@ -175,10 +187,10 @@
             SheddingFleet rig("lodging");
             rig.upstream.answer = {row.statusLine, "Connection: close\r\nContent-Length: 2\r\n" + std::string(row.fields), "no"};
             unsigned served = 0;
-            unsigned sent = 0;
-            // The stand-in answers no checks while the nodes start, so its home may have ejected it for some seconds.
-            for (; sent < minRequests || (rig.arrivals() == 0 && sent < maxRequests); ++sent) {
-                rig.runFor(sent < minRequests ? 0ms : 50ms);
+            const auto isReached = [&](unsigned) {
+                return rig.arrivals() > 0;
+            };
+            const unsigned sent = rig.sendUntil(isReached, [&] {
                 TestRequest request;
                 request.method = "POST";
                 request.target = "/lodging";
@@ -187,8 +199,8 @@
                 if (reply.status != 200 && (reply.status != row.status || !reply.error.empty())) {
                     mismatches += std::string(row.statusLine) + ": " + reply.describe() + "\n";
                 }
-            }
-            if (rig.arrivals() == 0 || served + rig.arrivals() != sent) {
+            });
+            if (!isReached(sent) || served + rig.arrivals() != sent) {
                 mismatches += std::string(row.statusLine) + ": " + std::to_string(rig.arrivals()) + " arrivals, " + std::to_string(served)
                               + " served, " + std::to_string(sent) + " sent\n";
             }
