--- a/processtests/support/rawupstream.cpp
+++ b/processtests/support/rawupstream.cpp
@@ -74,17 +74,17 @@
         const bool isCheck = this->answersChecks && (head.starts_with("GET /health ") || head.starts_with("GET /drain "));
         this->arrivals[id] += isCheck ? 0 : 1;
         const std::string echo = "\r\n" + this->idField + ": " + id + "\r\n";
-        const std::string seal = "Server-Seal: seal\r\n";
+        const std::string signedEcho = echo + "Server-Seal: seal\r\n";
         asio::steady_timer timer(socket.get_executor(), this->delay);
         co_await timer.async_wait(awaitTuple);
         if (isCheck || head.find("/sound HTTP/") != std::string::npos) {
-            const std::string bytes = "HTTP/1.1 200 OK" + echo + seal + "Content-Length: 5\r\n\r\nsound";
+            const std::string bytes = "HTTP/1.1 200 OK" + signedEcho + "Content-Length: 5\r\n\r\nsound";
             co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
             continue;
         }
         const RawAnswer now = this->answer;
         const std::string bytes
-            = now.statusLine + echo + (now.isSigned ? seal : "") + now.fields + (now.endlessPart.empty() ? "\r\n" : "") + now.body;
+            = now.statusLine + (now.isSigned ? signedEcho : echo) + now.fields + (now.endlessPart.empty() ? "\r\n" : "") + now.body;
         co_await asio::async_write(socket, asio::buffer(bytes), awaitTuple);
         if (!now.endlessPart.empty()) {
             co_await this->sendWithoutEnd(socket, now.endlessPart);
